--- /dev/null
+++ b/cmake/bth_dependencies.cmake
@@ -0,0 +1,13 @@
+# Every third-party library that the project links, all from Debian packages.
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS headers)
+find_package(OpenSSL REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
+find_package(CLI11 CONFIG REQUIRED)
+find_package(tl-expected CONFIG REQUIRED)
+find_package(benchmark CONFIG REQUIRED)
+pkg_check_modules(jsoncpp REQUIRED IMPORTED_TARGET jsoncpp)
+pkg_check_modules(log4cplus REQUIRED IMPORTED_TARGET log4cplus)
+pkg_check_modules(cpputest REQUIRED IMPORTED_TARGET cpputest)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
