--- a/bth/base/strong_id.h
+++ b/bth/base/strong_id.h
@@ -20,7 +20,7 @@
     using rep = Rep;
 
     constexpr strong_id() = default;
-    constexpr explicit strong_id(Rep value) : value_of{value} {}
+    constexpr explicit strong_id(Rep value) : stored{value} {}
 
     // The id of the row `index` of a table. The caller makes sure that it fits.
     static constexpr strong_id from_index(std::size_t index)
@@ -28,13 +28,13 @@
         return strong_id{static_cast<Rep>(index)};
     }
 
-    constexpr Rep value() const { return this->value_of; }
-    constexpr std::size_t index() const { return static_cast<std::size_t>(this->value_of); }
+    constexpr Rep value() const { return this->stored; }
+    constexpr std::size_t index() const { return static_cast<std::size_t>(this->stored); }
 
     friend constexpr auto operator<=>(const strong_id&, const strong_id&) = default;
 
 private:
-    Rep value_of{};
+    Rep stored{};
 };
 
 } // namespace bth
--- a/bth/base/units.h
+++ b/bth/base/units.h
@@ -14,42 +14,42 @@
 class quantity {
 public:
     constexpr quantity() = default;
-    constexpr explicit quantity(double value) : value_of{value} {}
+    constexpr explicit quantity(double value) : stored{value} {}
 
-    constexpr double value() const { return this->value_of; }
+    constexpr double value() const { return this->stored; }
 
     friend constexpr auto operator<=>(const quantity&, const quantity&) = default;
     friend constexpr quantity operator+(quantity a, quantity b)
     {
-        return quantity{a.value_of + b.value_of};
+        return quantity{a.stored + b.stored};
     }
     friend constexpr quantity operator-(quantity a, quantity b)
     {
-        return quantity{a.value_of - b.value_of};
+        return quantity{a.stored - b.stored};
     }
     friend constexpr quantity operator*(quantity a, double factor)
     {
-        return quantity{a.value_of * factor};
+        return quantity{a.stored * factor};
     }
     friend constexpr quantity operator/(quantity a, double divisor)
     {
-        return quantity{a.value_of / divisor};
+        return quantity{a.stored / divisor};
     }
     // The ratio of two quantities of one unit; the caller makes sure that `b` isn't zero.
-    friend constexpr double operator/(quantity a, quantity b) { return a.value_of / b.value_of; }
+    friend constexpr double operator/(quantity a, quantity b) { return a.stored / b.stored; }
     constexpr quantity& operator+=(quantity other)
     {
-        this->value_of += other.value_of;
+        this->stored += other.stored;
         return *this;
     }
     constexpr quantity& operator-=(quantity other)
     {
-        this->value_of -= other.value_of;
+        this->stored -= other.stored;
         return *this;
     }
 
 private:
-    double value_of{};
+    double stored{};
 };
 
 // Requests per second.
--- a/cmake/bth_targets.cmake
+++ b/cmake/bth_targets.cmake
@@ -11,7 +11,7 @@
 
 add_library(bth_flags INTERFACE)
 target_compile_options(bth_flags INTERFACE
-    -Wall -Wextra -Wpedantic -Wconversion -Wshadow -Werror)
+    -Wall -Wextra -Wpedantic -Wconversion -Wshadow=local -Werror)
 target_compile_definitions(bth_flags INTERFACE BOOST_ASIO_NO_DEPRECATED)
 target_include_directories(bth_flags INTERFACE ${PROJECT_SOURCE_DIR})
 
