--- /dev/null
+++ b/bth/shell/net.cpp
@@ -0,0 +1,57 @@
+#include "bth/shell/net.h"
+
+#include <chrono>
+#include <utility>
+
+namespace bth::shell {
+
+boost::asio::ip::tcp::endpoint to_asio(const endpoint& where)
+{
+    return {boost::asio::ip::address_v4{where.address.bits}, where.port};
+}
+
+endpoint from_asio(const boost::asio::ip::tcp::endpoint& where)
+{
+    if (!where.address().is_v4()) {
+        return {};
+    }
+    return {ipv4_address{where.address().to_v4().to_uint()}, where.port()};
+}
+
+tl::expected<boost::asio::ip::tcp::acceptor, std::string>
+listen_on(const boost::asio::any_io_executor& executor, const endpoint& where)
+{
+    boost::asio::ip::tcp::acceptor acceptor{executor};
+    boost::system::error_code error;
+    const auto fail = [&]() {
+        return tl::unexpected{"can't listen on " + to_string(where) + ": " + error.message()};
+    };
+    acceptor.open(boost::asio::ip::tcp::v4(), error);
+    if (error) {
+        return fail();
+    }
+    acceptor.set_option(boost::asio::socket_base::reuse_address{true}, error);
+    acceptor.bind(to_asio(where), error);
+    if (error) {
+        return fail();
+    }
+    acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error) {
+        return fail();
+    }
+    return acceptor;
+}
+
+time_point monotonic_now()
+{
+    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+    return time_point{std::chrono::duration_cast<duration>(since_start)};
+}
+
+clock_reading read_clocks()
+{
+    const auto wall = std::chrono::system_clock::now();
+    return {monotonic_now(), std::chrono::time_point_cast<std::chrono::milliseconds>(wall)};
+}
+
+} // namespace bth::shell
--- /dev/null
+++ b/bth/shell/simple_http.cpp
@@ -0,0 +1,152 @@
+#include "bth/shell/simple_http.h"
+
+#include "bth/shell/net.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace bth::shell {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::uint64_t body_limit = 64ULL * 1024 * 1024;
+constexpr std::chrono::seconds idle_limit{30};
+
+// One connection; it lives as long as its coroutine runs.
+class session : public std::enable_shared_from_this<session> {
+public:
+    session(asio::ip::tcp::socket socket, http_handler handler)
+        : stream{std::move(socket)}, handler{std::move(handler)}
+    {}
+
+    void start()
+    {
+        asio::co_spawn(
+            this->stream.get_executor(), [self = shared_from_this()] { return self->run(); },
+            asio::detached);
+    }
+
+private:
+    asio::awaitable<void> run()
+    {
+        bool keep_alive = true;
+        while (keep_alive) {
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(body_limit);
+            boost::system::error_code error;
+            this->stream.expires_after(idle_limit);
+            co_await http::async_read(this->stream, this->buffer, parser,
+                                      asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                co_return;
+            }
+            keep_alive = parser.get().keep_alive();
+            this->stream.expires_never();
+            http_response response = co_await this->handler(parser.release());
+            response.keep_alive(keep_alive);
+            response.prepare_payload();
+            this->stream.expires_after(idle_limit);
+            co_await http::async_write(this->stream, response,
+                                       asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                co_return;
+            }
+        }
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    http_handler handler;
+};
+
+} // namespace
+
+http_response make_response(const http_request& request, http::status status,
+                            const std::string& media_type, std::string body)
+{
+    http_response response{status, request.version()};
+    response.set(http::field::content_type, media_type);
+    response.body() = std::move(body);
+    return response;
+}
+
+http_server::http_server(asio::ip::tcp::acceptor acceptor, http_handler handler)
+    : acceptor{std::move(acceptor)}, handler{std::move(handler)}
+{}
+
+void http_server::start()
+{
+    asio::co_spawn(
+        this->acceptor.get_executor(), [self = shared_from_this()] { return self->accept_all(); },
+        asio::detached);
+}
+
+void http_server::stop()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+}
+
+asio::awaitable<void> http_server::accept_all()
+{
+    while (this->acceptor.is_open()) {
+        boost::system::error_code error;
+        auto socket =
+            co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            socket.set_option(asio::ip::tcp::no_delay{true}, error);
+            std::make_shared<session>(std::move(socket), this->handler)->start();
+        }
+    }
+}
+
+asio::awaitable<tl::expected<http_response, std::string>>
+http_call(endpoint where, http_request request, duration limit)
+{
+    beast::tcp_stream stream{co_await asio::this_coro::executor};
+    boost::system::error_code error;
+    const auto fail = [&](const char* step) {
+        return tl::unexpected{"can't " + std::string{step} + " " + to_string(where) + ": " +
+                              error.message()};
+    };
+    stream.expires_after(limit);
+    co_await stream.async_connect(to_asio(where), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return fail("connect to");
+    }
+    request.version(11);
+    request.keep_alive(false);
+    if (request.find(http::field::host) == request.end()) {
+        request.set(http::field::host, to_string(where));
+    }
+    request.prepare_payload();
+    co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return fail("send to");
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(body_limit);
+    co_await http::async_read(stream, buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return fail("read the answer of");
+    }
+    co_return parser.release();
+}
+
+} // namespace bth::shell
--- /dev/null
+++ b/bth/shell/simple_http.h
@@ -0,0 +1,55 @@
+// HTTP for small whole messages: the administration pages of a program, look-ups, and calls to
+// another program. The request path itself streams and doesn't use this.
+//
+//   auto server = std::make_shared<http_server>(executor, std::move(acceptor), handler);
+//   server->start();
+//   auto answer = co_await http_call(where, request, std::chrono::seconds{2});
+#pragma once
+
+#include "bth/base/endpoint.h"
+#include "bth/base/time.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <tl/expected.hpp>
+
+namespace bth::shell {
+
+using http_request = boost::beast::http::request<boost::beast::http::string_body>;
+using http_response = boost::beast::http::response<boost::beast::http::string_body>;
+
+// Answers one whole request. It may wait.
+using http_handler = std::function<boost::asio::awaitable<http_response>(http_request)>;
+
+// A response with a body of the given media type, such as "application/json".
+http_response make_response(const http_request& request, boost::beast::http::status status,
+                            const std::string& media_type, std::string body);
+
+// Accepts connections and passes whole requests to the handler. Requests that are malformed, too
+// large or too slow close their connection, and only that one.
+class http_server : public std::enable_shared_from_this<http_server> {
+public:
+    http_server(boost::asio::ip::tcp::acceptor acceptor, http_handler handler);
+
+    void start();
+    void stop();
+
+private:
+    boost::asio::awaitable<void> accept_all();
+
+    boost::asio::ip::tcp::acceptor acceptor;
+    http_handler handler;
+};
+
+// Sends one request on a connection of its own and returns the whole answer, or one sentence that
+// says what failed. `limit` bounds the whole call.
+boost::asio::awaitable<tl::expected<http_response, std::string>>
+http_call(endpoint where, http_request request, duration limit);
+
+} // namespace bth::shell
