Agree on a log by a core of messages and ticks

Cause: the accepted configuration needs one order of edits that outlives hosts. Ruled out: a primary chosen by the settings (it can't tell that it was cut off); joint consensus (two-phase changes; one voter at a time needs less and is enough for replacing hosts); counting a member by its host name (a host that lost its disk would vote as if it remembered). A member is a host and an incarnation of its disk. It has no I/O yet.

--- /dev/null
+++ b/bth/consensus/replica_membership.cpp
@@ -0,0 +1,192 @@
+// Members that come, catch up, are let in and leave.
+#include "bth/consensus/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bth::consensus {
+
+namespace {
+
+// The entries that a learner may be behind when it becomes a voter.
+constexpr std::uint64_t promotion_lag = 16;
+
+void erase_host(std::vector<member_id>& members, const std::string& host)
+{
+    std::erase_if(members, [&](const auto& row) { return row.host == host; });
+}
+
+configuration without_host(configuration members, const std::string& host)
+{
+    erase_host(members.voters, host);
+    erase_host(members.learners, host);
+    return members;
+}
+
+} // namespace
+
+void replica::on_join_request(time_point now, const member_id& from)
+{
+    if (this->role != replica_role::leader || this->find_peer(from) != nullptr) {
+        return;
+    }
+    std::erase_if(this->applicants, [&](const auto& row) { return row.member.host == from.host; });
+    this->applicants.push_back({from, now});
+}
+
+// A replica that isn't in the configuration it knows, and hears no leader, asks every seed.
+void replica::ask_to_join(time_point now)
+{
+    const auto& members = this->log.members();
+    if (is_voter(members, this->self) || now < this->join_due) {
+        return;
+    }
+    this->join_due = now + this->options.heartbeat;
+    for (const auto& host : this->options.seeds) {
+        if (host != this->self.host) {
+            this->send({host, any_incarnation}, join_request{});
+        }
+    }
+}
+
+// Makes the table of peers that of the current members.
+void replica::refresh_peers()
+{
+    std::vector<peer_progress> next;
+    const auto keep = [&](const member_id& member) {
+        if (member == this->self) {
+            return;
+        }
+        const auto* known = this->find_peer(member);
+        if (known != nullptr) {
+            next.push_back(*known);
+            return;
+        }
+        peer_progress fresh{member, {}, this->log.last() + 1, {}, 0, {}, {}};
+        // A new leader has the time of one lease to be confirmed.
+        fresh.acknowledged.sent_at = this->led_since;
+        next.push_back(fresh);
+    };
+    for (const auto& member : this->log.members().voters) {
+        keep(member);
+    }
+    for (const auto& member : this->log.members().learners) {
+        keep(member);
+    }
+    this->peers = std::move(next);
+}
+
+// One change at a time, and none before the leader has committed in its own term.
+bool replica::change_pending() const
+{
+    return this->log.members_index() > this->commit || this->commit < this->term_start;
+}
+
+void replica::change_members(time_point now, configuration next, std::optional<request_token> token)
+{
+    if (token.has_value()) {
+        this->proposals.push_back({this->log.last() + 1, 0, *token});
+    }
+    this->append_own({{}, {}, entry_kind::configuration, {}, std::move(next)});
+    this->refresh_peers();
+    this->replicate_to_all(now);
+}
+
+void replica::add_member(time_point now, request_token token, const std::string& host)
+{
+    if (!this->ready_for_requests(now, token)) {
+        return;
+    }
+    const auto known = std::find_if(this->applicants.begin(), this->applicants.end(),
+                                    [&](const auto& row) { return row.member.host == host; });
+    if (known == this->applicants.end() || host == this->self.host) {
+        this->answer(token, request_outcome::bad_member);
+        return;
+    }
+    if (this->change_pending()) {
+        this->answer(token, request_outcome::busy);
+        return;
+    }
+    auto next = without_host(this->log.members(), host);
+    next.learners.push_back(known->member);
+    this->change_members(now, std::move(next), token);
+}
+
+void replica::remove_member(time_point now, request_token token, const std::string& host)
+{
+    if (!this->ready_for_requests(now, token)) {
+        return;
+    }
+    const auto next = without_host(this->log.members(), host);
+    if (next == this->log.members() || next.voters.empty()) {
+        this->answer(token, request_outcome::bad_member);
+        return;
+    }
+    if (this->change_pending()) {
+        this->answer(token, request_outcome::busy);
+        return;
+    }
+    this->change_members(now, next, token);
+}
+
+void replica::admit(time_point now)
+{
+    std::erase_if(this->applicants, [&](const auto& row) {
+        return this->find_peer(row.member) != nullptr ||
+               now - row.heard > this->options.election_least;
+    });
+    if (this->change_pending()) {
+        return;
+    }
+    if (!this->readmit_applicant(now)) {
+        this->promote_learner(now);
+    }
+}
+
+// A later life of a member's host asks to be let in: the member's disk is gone. The voter that it
+// was is taken out, and the new life becomes a learner, in one change of one voter.
+bool replica::readmit_applicant(time_point now)
+{
+    for (const auto& row : this->applicants) {
+        const auto old = member_on(this->log.members(), row.member.host);
+        if (!old.has_value() || old->life >= row.member.life || *old == this->self) {
+            continue;
+        }
+        auto next = without_host(this->log.members(), row.member.host);
+        if (next.voters.empty()) {
+            continue;
+        }
+        next.learners.push_back(row.member);
+        this->change_members(now, std::move(next), std::nullopt);
+        return true;
+    }
+    return false;
+}
+
+// A learner that holds all that is committed, and answered lately, becomes a voter.
+void replica::promote_learner(time_point now)
+{
+    for (const auto& learner : this->log.members().learners) {
+        const auto* peer = this->find_peer(learner);
+        const bool caught_up = peer != nullptr && peer->match + promotion_lag >= this->commit &&
+                               now - peer->acknowledged.sent_at < 2 * this->options.heartbeat;
+        if (caught_up) {
+            auto next = this->log.members();
+            std::erase(next.learners, learner);
+            next.voters.push_back(learner);
+            this->change_members(now, std::move(next), std::nullopt);
+            return;
+        }
+    }
+}
+
+void replica::leave_if_removed(time_point now)
+{
+    const auto& members = this->log.members();
+    if (this->log.members_index() <= this->commit && !is_voter(members, this->self)) {
+        this->replicate_to_all(now);
+        this->follow(now, this->state.term, std::nullopt);
+    }
+}
+
+} // namespace bth::consensus
