--- a/bth/consensus/replica.cpp
+++ b/bth/consensus/replica.cpp
@@ -17,6 +17,14 @@
     if (restored.taken != nullptr) {
         log.reset(*restored.taken);
     }
+    // A crash may have left a log behind a newer snapshot, and one that contradicts it.
+    const bool contradicts =
+        std::any_of(restored.entries.begin(), restored.entries.end(), [&](const auto& entry) {
+            return entry.index == log.base() && entry.term != log.last_term();
+        });
+    if (contradicts) {
+        return log;
+    }
     for (const auto& entry : restored.entries) {
         if (entry.index > log.base()) {
             log.append(entry);
@@ -47,6 +55,10 @@
       // A restarted replica may have answered a leader just before: it gives no vote for a while.
       heard_leader{now}, join_due{now}, persisted_index{this->log.last()}
 {
+    const auto& members = this->log.members();
+    if (is_voter(members, this->self) || is_learner(members, this->self)) {
+        this->floor = this->log.last();
+    }
     this->reset_election(now, this->options.election_least, this->options.election_spread);
 }
 
@@ -67,7 +79,7 @@
         return;
     }
     this->leader.reset();
-    if (is_voter(this->log.members(), this->self)) {
+    if (this->may_lead()) {
         this->start_election(now, true);
     }
 }
@@ -166,14 +178,22 @@
 
 replica_status replica::status(time_point now) const
 {
-    replica_status now_is{this->self,       this->role,   this->state.term,    this->leader, false,
-                          this->log.last(), this->commit, this->log.members(), this->peers,  {}};
-    now_is.holds_lease = this->role == replica_role::leader && this->commit >= this->term_start &&
-                         this->holds_lease(now);
+    replica_status found;
+    found.self = this->self;
+    found.role = this->role;
+    found.term = this->state.term;
+    found.leader = this->leader;
+    found.holds_lease = this->role == replica_role::leader && this->commit >= this->term_start &&
+                        this->holds_lease(now);
+    found.caught_up = this->caught_up();
+    found.last = this->log.last();
+    found.commit = this->commit;
+    found.members = this->log.members();
+    found.peers = this->peers;
     for (const auto& row : this->applicants) {
-        now_is.applicants.push_back(row.member);
+        found.applicants.push_back(row.member);
     }
-    return now_is;
+    return found;
 }
 
 // A leader whose lease has run out may have a successor already: it stops being one.
--- a/bth/consensus/replica.h
+++ b/bth/consensus/replica.h
@@ -122,6 +122,8 @@
     std::optional<member_id> leader;
     // A leader: whether a quorum confirmed it recently enough.
     bool holds_lease{};
+    // Whether the applied state may be served; see replica::caught_up.
+    bool caught_up{};
     log_index last;
     log_index commit;
     configuration members;
@@ -160,6 +162,10 @@
     std::vector<log_entry> retained_after(log_index index) const;
 
     log_index commit_index() const { return this->commit; }
+
+    // Whether the applied state is at least as new as any that this host has shown before, also
+    // before a restart or the loss of its disk. Until then nothing may be served from it.
+    bool caught_up() const { return this->floor.has_value() && this->commit >= *this->floor; }
     const hard_state& durable_state() const { return this->state; }
     replica_status status(time_point now) const;
 
@@ -188,6 +194,7 @@
     std::size_t quorum() const { return this->log.members().voters.size() / 2 + 1; }
 
     // replica_election.cpp
+    bool may_lead() const;
     void start_election(time_point now, bool pre);
     void count_votes(time_point now);
     void lead(time_point now);
@@ -206,6 +213,7 @@
     void commit_through(log_index index);
     void answer_reads();
     bool accept_entries(const append_request& request);
+    void note_floor(log_index index);
     log_index conflict_hint(log_index previous_index) const;
     void on_append_request(time_point now, const member_id& from, const append_request& request);
     void on_append_answer(time_point now, const member_id& from, const append_answer& reply);
@@ -220,6 +228,7 @@
     void ask_to_join(time_point now);
     void refresh_peers();
     bool change_pending() const;
+    bool reaches_quorum(time_point now, const configuration& next) const;
     void change_members(time_point now, configuration next, std::optional<request_token> token);
     void admit(time_point now);
     bool readmit_applicant(time_point now);
@@ -233,6 +242,9 @@
     replicated_log log;
     std::shared_ptr<const snapshot> taken;
     log_index commit;
+    // Earlier lives of the process showed nothing that is behind this entry. Unknown before the log
+    // names this member.
+    std::optional<log_index> floor;
     replica_role role{replica_role::follower};
     bool pre_voting{};
     std::optional<member_id> leader;
--- a/bth/consensus/replica_election.cpp
+++ b/bth/consensus/replica_election.cpp
@@ -5,6 +5,14 @@
 
 namespace bth::consensus {
 
+// A voter that its own log takes out goes on until that change is committed: it may be the only one
+// whose log is new enough to win.
+bool replica::may_lead() const
+{
+    return is_voter(this->log.members(), this->self) ||
+           is_voter(this->log.members_at(this->commit), this->self);
+}
+
 void replica::start_election(time_point now, bool pre)
 {
     this->role = replica_role::candidate;
--- a/bth/consensus/replica_membership.cpp
+++ b/bth/consensus/replica_membership.cpp
@@ -82,6 +82,20 @@
     return this->log.members_index() > this->commit || this->commit < this->term_start;
 }
 
+// Whether so many of these voters answered lately that they could go on.
+bool replica::reaches_quorum(time_point now, const configuration& next) const
+{
+    const auto answers = [&](const member_id& voter) {
+        const auto peer = std::find_if(this->peers.begin(), this->peers.end(),
+                                       [&](const auto& row) { return row.peer == voter; });
+        return voter == this->self ||
+               (peer != this->peers.end() &&
+                now - peer->acknowledged.sent_at < this->options.vote_silence);
+    };
+    const auto count = std::count_if(next.voters.begin(), next.voters.end(), answers);
+    return static_cast<std::size_t>(count) > next.voters.size() / 2;
+}
+
 void replica::change_members(time_point now, configuration next, std::optional<request_token> token)
 {
     if (token.has_value()) {
@@ -118,7 +132,7 @@
         return;
     }
     const auto next = without_host(this->log.members(), host);
-    if (next == this->log.members() || next.voters.empty()) {
+    if (next == this->log.members() || !this->reaches_quorum(now, next)) {
         this->answer(token, request_outcome::bad_member);
         return;
     }
@@ -153,7 +167,7 @@
             continue;
         }
         auto next = without_host(this->log.members(), row.member.host);
-        if (next.voters.empty()) {
+        if (!this->reaches_quorum(now, next)) {
             continue;
         }
         next.learners.push_back(row.member);
--- a/bth/consensus/replica_replication.cpp
+++ b/bth/consensus/replica_replication.cpp
@@ -148,10 +148,22 @@
         }
         this->pending.appended.push_back(entry);
         this->log.append(entry);
+        this->note_floor(index);
     }
     return true;
 }
 
+// The log now ends at `index` with a new entry, or with a snapshot. What stood there and behind it
+// wasn't committed, so it was never shown.
+void replica::note_floor(log_index index)
+{
+    const auto& members = this->log.members();
+    const bool named = is_voter(members, this->self) || is_learner(members, this->self);
+    if (!this->floor.has_value() || index <= *this->floor) {
+        this->floor = named ? std::optional{index} : std::nullopt;
+    }
+}
+
 // Where the leader should go on after a mismatch: before the whole term that differs.
 log_index replica::conflict_hint(log_index previous_index) const
 {
@@ -206,7 +218,9 @@
         return;
     }
     auto* peer = this->find_peer(from);
-    if (this->role != replica_role::leader || reply.term != this->state.term || peer == nullptr) {
+    const bool expected = this->role == replica_role::leader && reply.term == this->state.term &&
+                          peer != nullptr && reply.last <= this->log.last();
+    if (!expected) {
         return;
     }
     this->acknowledge(*peer, reply.stamp);
@@ -230,6 +244,7 @@
     this->taken = std::make_shared<const snapshot>(this->incoming);
     if (!this->log.matches(request.index, request.index_term)) {
         this->log.reset(this->incoming);
+        this->note_floor(request.index);
     }
     this->incoming = {};
     this->commit = request.index;
--- a/bth/consensus/replica_test.cpp
+++ b/bth/consensus/replica_test.cpp
@@ -223,3 +223,20 @@
         group.now, {founder("b"), other_life, vote_request{later, false, {9}, later}});
     CHECK_FALSE(group.replicas.at(0).durable_state().vote.has_value());
 }
+
+TEST(replica, leader_that_takes_itself_out_can_lead_until_that_is_committed)
+{
+    small_group group{{"a", "b", "c", "d"}};
+    group.run(2s);
+    const auto old = index_of(group, group.leader());
+    const auto dead = (old + 1) % 4;
+    group.cut.at(old) = true;
+    const auto& name = group.replicas.at(old).status(group.now).self.host;
+    group.replicas.at(old).remove_member(group.now, request_token{1}, name);
+    group.cut.at(dead) = true;
+    group.run(2s);
+    CHECK_TRUE(group.leader() == nullptr);
+    group.cut.at(old) = false;
+    group.run(4s);
+    CHECK_TRUE(group.leader() != nullptr);
+}
--- a/bth/storage/journal.h
+++ b/bth/storage/journal.h
@@ -131,6 +131,15 @@
     if (!*file) {
         return damaged(log_name, 0, "it is missing");
     }
+    // What an earlier process wrote and never synced is readable, yet a loss of power would take it
+    // back.
+    auto synced = this->files.sync(log_name);
+    if (synced) {
+        synced = this->files.sync_folder();
+    }
+    if (!synced) {
+        return synced;
+    }
     auto run = read_records(**file, this->seed);
     if (run.damage) {
         return damaged(log_name, run.end, *run.damage);
--- a/bth/storage/journal_test.cpp
+++ b/bth/storage/journal_test.cpp
@@ -160,3 +160,25 @@
     UNSIGNED_LONGS_EQUAL(1, contents->records.size());
     CHECK_TRUE(contents->cut.has_value());
 }
+
+TEST(journal, record_that_was_read_at_the_start_outlives_a_loss_of_power)
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        std::mt19937_64 generator{seed};
+        auto medium = medium_with(1);
+        {
+            test_journal kept{fake_disk{medium}};
+            CHECK_TRUE(kept.open().has_value());
+            medium->fails_after = 1; // The write succeeds and its sync fails.
+            CHECK_FALSE(kept.append("unsynced").has_value());
+        }
+        medium->fails_after.reset();
+        test_journal again{fake_disk{medium}};
+        UNSIGNED_LONGS_EQUAL(2, again.open()->records.size());
+        medium->crash(generator);
+        test_journal last{fake_disk{medium}};
+        const auto contents = last.open();
+        CHECK_TRUE(contents.has_value());
+        UNSIGNED_LONGS_EQUAL(2, contents->records.size());
+    }
+}
