Lay the request lifecycle of the steering core out as steps

Cause: node.cpp decided everything in one function and reset the slots in use whenever a configuration came, and nothing kept a forwarded request from being forwarded on for ever.

An arrival says how many entry hosts it has passed and whether it is a retry of another host, so that caller, owner in the domain and owner in another domain is the longest way. A heartbeat can name the services that their owner can't serve.

--- a/bth/steering/events.h
+++ b/bth/steering/events.h
@@ -20,6 +20,10 @@
 
 namespace bth::steering {
 
+// Entry hosts that a request passes between its first one and the one that serves it: the owner in
+// the first one's failure domain, then the owner in another one.
+inline constexpr std::uint8_t most_hops = 2;
+
 // A request whose header has been read.
 struct arrival {
     request_id id;
@@ -30,6 +34,12 @@
     domain_id home;
     // The entry host that forwarded the request, if it didn't come from the caller itself.
     std::optional<host_id> forwarded_by;
+    // How many entry hosts the request has passed before this one: 0 straight from the caller, 1
+    // from a host of the same failure domain or the caller's first host, most_hops at most.
+    std::uint8_t hops{};
+    // Whether another host forwarded the request as a retry; it then adds nothing to a retry
+    // budget here.
+    bool retry{};
     // Whether running the request twice does no harm.
     bool repeatable{};
     time_point deadline;
@@ -81,11 +91,14 @@
     time_point deadline;
 };
 
-// Forward the request to another entry host.
+// Forward the request to another entry host, with the arrival fields `hops` and `retry` that it has
+// there.
 struct forward_to_host {
     request_id id;
     host_id host;
     time_point deadline;
+    std::uint8_t hops{};
+    bool retry{};
 };
 
 // Give the final answer: a refusal.
--- a/bth/steering/messages.h
+++ b/bth/steering/messages.h
@@ -51,6 +51,8 @@
     bool leaving{};
     // The services whose targets in the sender's own domain it owns now.
     std::vector<service_id> owned;
+    // Those of `owned` that can't serve now, for lack of targets or of a dependency.
+    std::vector<service_id> unable;
     // Larger than in every earlier heartbeat of this life.
     std::uint64_t sequence{};
 };
--- /dev/null
+++ b/bth/steering/model_map.h
@@ -0,0 +1,45 @@
+// Which row of a new configuration is which row of the one before, by name.
+//
+//   model_map change{old_model, new_model};
+//   if (auto id = change.find(old_target)) { use(*id); }
+#pragma once
+
+#include "bth/base/ids.h"
+#include "bth/config/model.h"
+
+#include <optional>
+#include <vector>
+
+namespace bth::steering {
+
+class model_map {
+public:
+    model_map(const config::model& before, const config::model& after);
+
+    // The new id of an old row, or nothing if no row of that name is left.
+    std::optional<service_id> find(service_id old) const { return get(this->services, old); }
+    std::optional<target_id> find(target_id old) const { return get(this->targets, old); }
+    std::optional<host_id> find(host_id old) const { return get(this->hosts, old); }
+    std::optional<domain_id> find(domain_id old) const { return get(this->domains, old); }
+    std::optional<region_id> find(region_id old) const { return get(this->regions, old); }
+    std::optional<class_id> find(class_id old) const { return get(this->classes, old); }
+
+private:
+    template <class Id>
+    using id_list = std::vector<std::optional<Id>>;
+
+    template <class Id>
+    static std::optional<Id> get(const id_list<Id>& list, Id old)
+    {
+        return old.index() < list.size() ? list.at(old.index()) : std::nullopt;
+    }
+
+    id_list<service_id> services;
+    id_list<target_id> targets;
+    id_list<host_id> hosts;
+    id_list<domain_id> domains;
+    id_list<region_id> regions;
+    id_list<class_id> classes;
+};
+
+} // namespace bth::steering
--- /dev/null
+++ b/bth/steering/request_table.cpp
@@ -0,0 +1,72 @@
+#include "bth/steering/request_table.h"
+
+namespace bth::steering {
+
+namespace {
+
+template <class Id>
+void remap_list(std::vector<Id>& list, const model_map& change)
+{
+    std::vector<Id> kept;
+    for (const Id old : list) {
+        if (const auto now = change.find(old)) {
+            kept.push_back(*now);
+        }
+    }
+    list = std::move(kept);
+}
+
+template <class Id>
+void remap_optional(std::optional<Id>& id, const model_map& change)
+{
+    if (id) {
+        id = change.find(*id);
+    }
+}
+
+// What a row refers to in its arrival. A home or class that is gone becomes the first row, which
+// only matters to decisions that still follow.
+void remap_arrival(request_row& row, const model_map& change)
+{
+    const auto service = change.find(row.request.service);
+    row.orphaned = row.orphaned || !service;
+    row.request.service = service.value_or(service_id{});
+    row.request.caller_class = change.find(row.request.caller_class).value_or(class_id{});
+    row.request.home = change.find(row.request.home).value_or(domain_id{});
+    remap_optional(row.request.forwarded_by, change);
+}
+
+} // namespace
+
+request_row& request_table::add(const arrival& request, priority_level level)
+{
+    request_row& row = this->rows[request.id];
+    row = request_row{};
+    row.request = request;
+    row.level = level;
+    return row;
+}
+
+request_row* request_table::find(request_id id)
+{
+    const auto found = this->rows.find(id);
+    return found == this->rows.end() ? nullptr : &found->second;
+}
+
+void request_table::erase(request_id id)
+{
+    this->rows.erase(id);
+}
+
+void request_table::remap(const model_map& change)
+{
+    for (auto& [id, row] : this->rows) {
+        remap_arrival(row, change);
+        remap_optional(row.target, change);
+        remap_optional(row.peer, change);
+        remap_list(row.tried_targets, change);
+        remap_list(row.tried_peers, change);
+    }
+}
+
+} // namespace bth::steering
