Add frames between processes and the peer link that carries them

Cause: the parts that talk between hosts need one transport with verified frames.

Change: bth/wire cuts a byte stream into FlatBuffers envelopes (length, version, kind, bound of 4 MiB, Verifier). bth/shell/peer_link keeps one TCP connection for each pair of processes: the smaller name connects first, back-off from 50 ms to 2 s, bounded queue, a handler for each kind; a damaged frame or malformed payload closes its connection only. Sender and life are sent once, in the first frame, not in each, so that small messages stay small.

--- /dev/null
+++ b/bth/shell/peer_link_test.cpp
@@ -0,0 +1,188 @@
+#include "bth/shell/peer_link.h"
+
+#include "bth/shell/log.h"
+#include "bth/shell/net.h"
+
+#include <memory>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+namespace {
+
+using bth::wire::frame_kind;
+
+struct link_process {
+    link_process(boost::asio::io_context& context, const std::string& name, std::uint64_t life)
+        : link{std::make_shared<bth::shell::peer_link>(
+              context.get_executor(), bth::shell::peer_link_settings{name, bth::incarnation{life}})}
+    {
+        this->link->on_frame(frame_kind::membership, [this](const bth::shell::peer_identity& from,
+                                                            bth::wire::byte_view payload) {
+            this->got.push_back(from.name + ":" + std::string{payload.begin(), payload.end()});
+            return !payload.empty();
+        });
+        this->link->on_change([this](const bth::shell::peer_identity&, bool connected) {
+            ++(connected ? this->connects : this->losses);
+        });
+    }
+
+    bool send(const std::string& to, const std::string& text) const
+    {
+        return this->link->send(to, frame_kind::membership,
+                                {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
+    }
+
+    std::shared_ptr<bth::shell::peer_link> link;
+    std::vector<std::string> got;
+    int connects{};
+    int losses{};
+};
+
+// Runs until `done`; the bound only stops a test that would never end.
+template <class Done>
+bool run_until(boost::asio::io_context& context, Done done)
+{
+    constexpr std::chrono::seconds bound{20};
+    const auto end = std::chrono::steady_clock::now() + bound;
+    while (!done() && std::chrono::steady_clock::now() < end) {
+        context.restart();
+        context.run_one_for(std::chrono::milliseconds{100});
+    }
+    return done();
+}
+
+// A free port of the loopback interface, picked by the kernel.
+bth::endpoint free_endpoint(boost::asio::io_context& context)
+{
+    const bth::endpoint any{{0x7f000001}, 0};
+    auto acceptor = bth::shell::listen_on(context.get_executor(), any);
+    return bth::shell::from_asio(acceptor->local_endpoint());
+}
+
+// The logging library keeps its loggers until the process ends; they are made outside of the leak
+// check, which covers all else.
+void make_loggers()
+{
+    MemoryLeakWarningPlugin::saveAndDisableNewDeleteOverloads();
+    log4cplus::Logger::getRoot().setLogLevel(log4cplus::OFF_LOG_LEVEL);
+    log4cplus::Logger::getInstance("shell.peer_link");
+    MemoryLeakWarningPlugin::restoreNewDeleteOverloads();
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(peer_link) {
+    void setup() override { make_loggers(); }
+    boost::asio::io_context context;
+};
+// clang-format on
+
+TEST(peer_link, carries_frames_both_ways_over_one_connection)
+{
+    link_process a{context, "a", 1};
+    link_process b{context, "b", 2};
+    const auto at_a = free_endpoint(context);
+    CHECK_TRUE(a.link->listen(at_a).has_value());
+    const auto at_b = free_endpoint(context);
+    CHECK_TRUE(b.link->listen(at_b).has_value());
+    a.link->set_peers({{"a", at_a}, {"b", at_b}});
+    b.link->set_peers({{"a", at_a}, {"b", at_b}});
+    CHECK_TRUE(run_until(context, [&] { return a.connects == 1 && b.connects == 1; }));
+    CHECK_TRUE(a.send("b", "one"));
+    CHECK_TRUE(b.send("a", "two"));
+    CHECK_TRUE(run_until(context, [&] { return !a.got.empty() && !b.got.empty(); }));
+    CHECK_TRUE(b.got.front() == "a:one");
+    CHECK_TRUE(a.got.front() == "b:two");
+    CHECK_FALSE(a.send("c", "nobody"));
+    a.link->stop();
+    b.link->stop();
+}
+
+TEST(peer_link, connects_again_after_the_peer_was_restarted)
+{
+    link_process a{context, "a", 1};
+    const auto at_b = free_endpoint(context);
+    a.link->set_peers({{"b", at_b}});
+    {
+        link_process first{context, "b", 2};
+        CHECK_TRUE(first.link->listen(at_b).has_value());
+        CHECK_TRUE(run_until(context, [&] { return a.connects == 1; }));
+        first.link->stop();
+    }
+    CHECK_TRUE(run_until(context, [&] { return a.losses == 1; }));
+    link_process second{context, "b", 3};
+    CHECK_TRUE(second.link->listen(at_b).has_value());
+    CHECK_TRUE(run_until(context, [&] { return a.connects == 2; }));
+    a.link->stop();
+    second.link->stop();
+}
+
+TEST(peer_link, malformed_payload_closes_only_its_connection)
+{
+    link_process a{context, "a", 1};
+    link_process b{context, "b", 2};
+    link_process c{context, "c", 3};
+    const auto at_b = free_endpoint(context);
+    CHECK_TRUE(b.link->listen(at_b).has_value());
+    a.link->set_peers({{"b", at_b}});
+    c.link->set_peers({{"b", at_b}});
+    CHECK_TRUE(run_until(context, [&] { return b.connects == 2; }));
+    CHECK_TRUE(a.send("b", ""));
+    CHECK_TRUE(run_until(context, [&] { return b.losses == 1; }));
+    CHECK_TRUE(c.send("b", "still"));
+    CHECK_TRUE(run_until(context, [&] { return b.got.size() == 2; }));
+    CHECK_TRUE(b.got.back() == "c:still");
+    CHECK_EQUAL(0, c.losses);
+    a.link->stop();
+    b.link->stop();
+    c.link->stop();
+}
+
+TEST(peer_link, bytes_that_are_no_frame_close_the_connection)
+{
+    link_process b{context, "b", 2};
+    const auto at_b = free_endpoint(context);
+    CHECK_TRUE(b.link->listen(at_b).has_value());
+    boost::asio::ip::tcp::socket socket{context};
+    socket.connect(bth::shell::to_asio(at_b));
+    boost::asio::write(socket, boost::asio::buffer("GET / HTTP/1.1\r\n\r\n", 18));
+    bool closed = false;
+    std::vector<char> buffer(1024);
+    std::function<void()> read = [&] {
+        socket.async_read_some(boost::asio::buffer(buffer),
+                               [&](const boost::system::error_code& error, std::size_t) {
+                                   closed = static_cast<bool>(error);
+                                   if (!closed) {
+                                       read();
+                                   }
+                               });
+    };
+    read();
+    CHECK_TRUE(run_until(context, [&] { return closed; }));
+    b.link->stop();
+}
+
+TEST(peer_link, full_queue_refuses_and_takes_nothing)
+{
+    auto link = std::make_shared<bth::shell::peer_link>(
+        context.get_executor(), bth::shell::peer_link_settings{"a", bth::incarnation{1}, 100});
+    link_process b{context, "b", 2};
+    const auto at_b = free_endpoint(context);
+    CHECK_TRUE(b.link->listen(at_b).has_value());
+    link->set_peers({{"b", at_b}});
+    CHECK_TRUE(run_until(context, [&] { return link->connected("b"); }));
+    const std::vector<std::uint8_t> large(101);
+    CHECK_FALSE(link->send("b", frame_kind::membership, large));
+    const std::vector<std::uint8_t> small(1, 'x');
+    CHECK_TRUE(link->send("b", frame_kind::membership, small));
+    CHECK_TRUE(run_until(context, [&] { return b.got.size() == 1; }));
+    link->stop();
+    b.link->stop();
+}
