Settle the messages of grants, ownership and handover

Cause: the first draft had one grant request a service, an acknowledgement of its own for each heartbeat, and a handover that couldn't say what was still in use. Ruled out: one message per service and pair (its headers cost more than its content once a host owns several services); an acknowledgement message (a heartbeat goes the other way in any case and can carry it); a handover only when nothing is in flight (under steady load that moment never comes). Change: a grant request carries the demand for all services at one granter by priority level; a grant answers it whole, with hints where a service has another owner; heartbeats name owned and claimed services and acknowledge the receiver's latest; a handover carries outstanding grants and busy slots and is sent again as they clear. Conclusion: builds, tests pass; the wire codec can be written from this.

--- a/bth/steering/messages.h
+++ b/bth/steering/messages.h
@@ -9,64 +9,113 @@
 #include "bth/base/units.h"
 
 #include <cstdint>
-#include <string>
+#include <optional>
 #include <variant>
 #include <vector>
 
 namespace bth::steering {
 
-// A source domain asks for room for a service. The answer is a capacity_grant.
-struct grant_request {
+// What a source expects to send to one granter for one service, of callers of one priority.
+struct grant_demand {
+    priority_level level;
+    request_rate rate;
+    std::uint32_t in_flight{};
+};
+
+// The demand for one service, most urgent level first.
+struct service_demand {
     service_id service;
+    std::vector<grant_demand> levels;
+};
+
+// The owner of services in a source domain asks one host of another domain for room for all of them
+// together. Each service asked for is answered by one capacity_grant.
+struct grant_request {
     domain_id source;
-    request_rate wanted_rate;
-    std::uint32_t wanted_in_flight{};
-    // Larger than in every earlier request of this source host and service.
+    // The life of the asking process: a later life starts without grants.
+    incarnation life;
+    // Larger than in every earlier request of this life.
     std::uint64_t sequence{};
+    std::vector<service_demand> services;
 };
 
-// Room that the granting domain keeps free for one source domain and service until the lease ends.
-// A later grant replaces the earlier one; a grant of zero ends it.
-struct capacity_grant {
+// Room for one service: requests per second, requests in flight, and bytes of requests towards the
+// granter and of answers back on the links between the regions. Within one region both byte rates
+// are zero and don't limit.
+struct granted_room {
     service_id service;
-    domain_id granter;
-    domain_id source;
     request_rate rate;
     std::uint32_t in_flight{};
-    // Bytes of requests towards the granter and of answers back, on the link between the regions.
     link_rate request_bytes;
     link_rate answer_bytes;
+};
+
+// A service that the asked host doesn't own; the source asks the owner, if one is known, instead.
+struct owner_hint {
+    service_id service;
+    std::optional<host_id> owner;
+};
+
+// Room that the granting host keeps free for one source domain until the lease ends. A later grant
+// replaces the earlier one for the services that it names; a grant of zero ends it.
+struct capacity_grant {
+    domain_id granter;
+    domain_id source;
+    // The life and sequence of the request that this answers.
+    incarnation life;
+    std::uint64_t sequence{};
     // How long the room lasts, counted by the source from when it SENT the request that this
     // answers, and by the granter from when it sent the grant: the source always stops first.
     duration lease{};
-    // The sequence of the request that this answers.
-    std::uint64_t sequence{};
+    std::vector<granted_room> rooms;
+    std::vector<owner_hint> elsewhere;
 };
 
-// Sign of life of a host, with what others need to know of it.
+// Sign of life of a host towards another candidate owner in its own domain, with the
+// acknowledgement of the receiver's latest heartbeat riding along. By acknowledging a heartbeat
+// that names a held service, the sender has promised not to own it until the ownership lease has
+// passed since it received that heartbeat.
 struct heartbeat {
     incarnation life;
     revision configuration;
     std::uint64_t digest{};
     bool leaving{};
-    // The services whose targets in the sender's own domain it owns now.
+    // Services whose targets in the sender's own domain it owns.
     std::vector<service_id> owned;
+    // Services that it wants to own and is asking the other candidates for.
+    std::vector<service_id> claimed;
     // Larger than in every earlier heartbeat of this life.
     std::uint64_t sequence{};
+    // The receiver's life and its largest sequence that the sender has seen; zero if none.
+    incarnation acked_life;
+    std::uint64_t acked_sequence{};
 };
 
-// Answer to a heartbeat of a host of the same domain: the sender promises not to take over what the
-// receiver owns until `promise` has passed since the receiver sent that heartbeat.
-struct heartbeat_ack {
+// A grant that the former owner had given, and how long it lasts yet.
+struct handed_grant {
+    domain_id source;
+    // The host and life that hold it.
+    host_id holder;
     incarnation life;
-    std::uint64_t sequence{};
-    duration promise{};
+    granted_room room;
+    duration remaining{};
 };
 
-// The owner of a service's targets hands them over at once, with nothing of them in use by it.
+// Slots of a target that requests of the former owner still use.
+struct busy_slots {
+    target_id target;
+    std::uint32_t count{};
+};
+
+// The owner of a service's targets hands them over at once. Sent again, with a larger sequence, as
+// the requests that it still has in flight end; the last one has no busy slots.
 struct handover {
     service_id service;
     incarnation life;
+    // Larger than in every earlier handover of this life.
+    std::uint64_t sequence{};
+    std::vector<handed_grant> grants;
+    std::vector<busy_slots> busy;
 };
 
 // First word that something is leaving, passed on to the hosts of the domain.
@@ -76,6 +125,6 @@
 };
 
 using peer_message =
-    std::variant<grant_request, capacity_grant, heartbeat, heartbeat_ack, handover, leaving_notice>;
+    std::variant<grant_request, capacity_grant, heartbeat, handover, leaving_notice>;
 
 } // namespace bth::steering
