--- a/bth/steering/messages.h
+++ b/bth/steering/messages.h
@@ -82,8 +82,12 @@
     bool leaving{};
     // Services whose targets in the sender's own domain it owns.
     std::vector<service_id> owned;
+    // Those of `owned` that can't serve now, for lack of targets or of a dependency.
+    std::vector<service_id> unable;
     // Services that it wants to own and is asking the other candidates for.
     std::vector<service_id> claimed;
+    // Services that the receiver claims and the sender has promised to another candidate.
+    std::vector<service_id> denied;
     // Larger than in every earlier heartbeat of this life.
     std::uint64_t sequence{};
     // The receiver's life and its largest sequence that the sender has seen; zero if none.
