Hold the share of shifted traffic to the operators' cap

Cause: nothing limited how much of a service's traffic changes its serving failure domain; failover, restarts and callers who move by themselves would all pass.

Ruled out: a part of the cap per deciding home and per fallback, split by the text: with a region lost only the parts of the lost homes could be used. The owner of the targets sees every request whatever way it came, so it counts, against a share of the traffic of its own callers; each caller has one home, so the parts sum to the cap with no split to keep.

--- a/bth/steering/messages.h
+++ b/bth/steering/messages.h
@@ -75,7 +75,19 @@
     std::vector<host_id> hosts;
 };
 
-using peer_message =
-    std::variant<grant_request, capacity_grant, heartbeat, heartbeat_ack, handover, leaving_notice>;
+// What the owner of a service's targets has settled of the traffic of another domain's callers.
+// Sent to the hosts of the callers' home, which must not take that traffic back faster than the
+// shift cap allows, and to the hosts of its own domain, one of which may have to take over.
+struct shift_claim {
+    service_id service;
+    domain_id home;
+    // Served in every quarter of the last window.
+    request_rate settled;
+    // The part of it that callers bring by themselves now, past their home's hosts.
+    request_rate direct;
+};
+
+using peer_message = std::variant<grant_request, capacity_grant, heartbeat, heartbeat_ack, handover,
+                                  leaving_notice, shift_claim>;
 
 } // namespace bth::steering
