Run bth-control as one process that accepts edits over HTTP

Operators need a program to send edits to. bth-control reads its settings, opens and locks its data folder, and serves POST /edits, GET /text, GET /status, GET / and GET /metrics. The acceptance path is the concept proposer: propose an edit, read the accepted text, tell the status. local_proposer is its model for one host that decides alone: the book is saved whole and synced, file and folder, before the answer goes out, and a save that failed makes every later answer "unknown" until a restart. Settings that name more than one member are refused until a replicated log stands behind the concept. Each outcome, each reason without a decision and resends have their counter.

simple_http: stop() now also closes idle connections and lets busy ones finish their answer, so that a stop doesn't wait for keep-alive connections; http_try() tells whether any byte of a request may have been sent, which a client needs to say "unknown" truthfully.

Ruled out: acting on the leader's word in the HTTP handlers; they know only the concept.

--- a/bth/config/difference.cpp
+++ b/bth/config/difference.cpp
@@ -24,6 +24,7 @@
 {
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
+    builder["emitUTF8"] = true;
     return Json::writeString(builder, value);
 }
 
--- a/bth/control/edit_answers.cpp
+++ b/bth/control/edit_answers.cpp
@@ -18,6 +18,7 @@
 {
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
+    builder["emitUTF8"] = true;
     return Json::writeString(builder, value) + "\n";
 }
 
--- /dev/null
+++ b/bth/control/edit_service.h
@@ -0,0 +1,111 @@
+// The HTTP interface of bth-control for operators, over any acceptance path:
+//   POST /edits     decides an edit (bth/control/edit_request.h)
+//   GET  /text      the accepted text, with its version in the header Bth-Version
+//   GET  /status    what this host knows, as JSON; GET / shows it as a page
+//   GET  /metrics   counters in the text format of Prometheus
+//
+//   auto service = std::make_shared<edit_service<local_proposer>>(proposer, 10'000);
+//   auto server = std::make_shared<http_server>(std::move(acceptor), service->handler());
+#pragma once
+
+#include "bth/control/edit_request.h"
+#include "bth/control/metrics.h"
+#include "bth/control/proposer.h"
+#include "bth/control/status_page.h"
+#include "bth/shell/simple_http.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace bth::control {
+
+// The answers that don't depend on the acceptance path.
+shell::http_response answer_response(const shell::http_request& request, const edit_answer& answer);
+shell::http_response failure_response(const shell::http_request& request,
+                                      const std::string& edit_id, const proposal_failure& failure);
+shell::http_response bad_edit_response(const shell::http_request& request, const findings& found);
+shell::http_response text_response(const shell::http_request& request, const accepted_text& text);
+shell::http_response unknown_path_response(const shell::http_request& request);
+
+// The path of a request without its query.
+std::string path_of(const shell::http_request& request);
+
+template <proposer Proposer>
+class edit_service : public std::enable_shared_from_this<edit_service<Proposer>> {
+public:
+    // `decider` outlives the service. Edits that come in here carry `ids_kept`.
+    edit_service(Proposer& decider, std::uint32_t ids_kept) : decider{&decider}, ids_kept{ids_kept}
+    {}
+
+    // A handler that keeps the service alive.
+    shell::http_handler handler()
+    {
+        return [self = this->shared_from_this()](shell::http_request request) {
+            return self->handle(std::move(request));
+        };
+    }
+
+private:
+    using response = boost::asio::awaitable<shell::http_response>;
+
+    response handle(shell::http_request request)
+    {
+        using boost::beast::http::status;
+        using boost::beast::http::verb;
+        const std::string path = path_of(request);
+        if (request.method() == verb::post && path == "/edits") {
+            co_return co_await this->decide(std::move(request));
+        }
+        if (request.method() == verb::get && path == "/text") {
+            co_return co_await this->text(std::move(request));
+        }
+        if (request.method() == verb::get && path == "/status") {
+            co_return shell::make_response(request, status::ok, "application/json",
+                                           status_json(this->decider->status()));
+        }
+        if (request.method() == verb::get && path == "/") {
+            co_return shell::make_response(request, status::ok, "text/html",
+                                           status_html(this->decider->status()));
+        }
+        if (request.method() == verb::get && path == "/metrics") {
+            this->metrics.show(this->decider->status());
+            co_return shell::make_response(request, status::ok, "text/plain; version=0.0.4",
+                                           this->metrics.text());
+        }
+        co_return unknown_path_response(request);
+    }
+
+    response decide(shell::http_request request)
+    {
+        auto one = read_edit_request(std::move(request.body()), this->ids_kept);
+        if (!one) {
+            this->metrics.count_bad_request();
+            co_return bad_edit_response(request, one.error());
+        }
+        const std::string id = one->id;
+        const auto decided = co_await this->decider->propose(std::move(*one));
+        if (!decided) {
+            this->metrics.count(decided.error());
+            co_return failure_response(request, id, decided.error());
+        }
+        this->metrics.count(*decided);
+        co_return answer_response(request, decided->answer);
+    }
+
+    response text(shell::http_request request)
+    {
+        const auto read = co_await this->decider->read();
+        if (!read) {
+            co_return failure_response(request, "", read.error());
+        }
+        co_return text_response(request, *read);
+    }
+
+    Proposer* decider;
+    std::uint32_t ids_kept;
+    control_metrics metrics;
+};
+
+} // namespace bth::control
--- /dev/null
+++ b/bth/control/edit_service_test.cpp
@@ -0,0 +1,237 @@
+#include "bth/control/edit_service.h"
+
+#include "bth/control/local_proposer.h"
+#include "bth/control/testing/sample_text.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using boost::beast::http::verb;
+using bth::revision;
+using bth::control::edit;
+using bth::control::proposal_failure;
+using bth::control::proposal_failure_reason;
+using bth::control::testing::sample_text;
+using bth::shell::http_request;
+using bth::shell::http_response;
+
+// clang-format off
+TEST_GROUP(edit_service) {};
+TEST_GROUP(local_proposer) {};
+// clang-format on
+
+namespace {
+
+constexpr std::uint32_t ids_kept = 100;
+
+// Decides by a book in memory, or fails as told.
+struct fake_proposer {
+    boost::asio::awaitable<tl::expected<bth::control::applied_edit, proposal_failure>>
+    propose(edit one)
+    {
+        if (this->failure) {
+            co_return tl::unexpected{*this->failure};
+        }
+        co_return this->book.apply(one);
+    }
+
+    boost::asio::awaitable<tl::expected<bth::control::accepted_text, proposal_failure>> read()
+    {
+        if (this->failure) {
+            co_return tl::unexpected{*this->failure};
+        }
+        co_return bth::control::accepted_text{this->book.version(), this->book.text()};
+    }
+
+    bth::control::control_status status() const
+    {
+        bth::control::control_status out;
+        out.host = "c1";
+        out.role = "leader";
+        out.version = this->book.version();
+        out.members.push_back({"c1", "<leader>", out.version});
+        return out;
+    }
+
+    bth::control::edit_book book;
+    std::optional<proposal_failure> failure;
+};
+
+using service = bth::control::edit_service<fake_proposer>;
+
+// Runs a coroutine that never waits for anything outside.
+template <class Result>
+Result result_of(boost::asio::awaitable<Result> work)
+{
+    boost::asio::io_context context;
+    std::optional<Result> out;
+    boost::asio::co_spawn(
+        context, [&]() -> boost::asio::awaitable<void> { out.emplace(co_await std::move(work)); },
+        boost::asio::detached);
+    context.run();
+    CHECK_TRUE(out.has_value());
+    return std::move(*out);
+}
+
+http_response ask(const std::shared_ptr<service>& at, verb method, const std::string& path,
+                  std::string body = {})
+{
+    http_request request{method, path, 11};
+    request.body() = std::move(body);
+    return result_of(at->handler()(std::move(request)));
+}
+
+edit text_edit(std::string id, std::uint64_t expected, int slots)
+{
+    return {std::move(id), revision{expected}, "ada", bth::control::text_change{sample_text(slots)},
+            ids_kept};
+}
+
+http_response submit(const std::shared_ptr<service>& at, const edit& one)
+{
+    return ask(at, verb::post, "/edits", write_edit_request(one));
+}
+
+bool shows(const http_response& response, const std::string& part)
+{
+    return response.body().find(part) != std::string::npos;
+}
+
+// A folder of its own for each test.
+struct scratch_folder {
+    scratch_folder()
+    {
+        std::string pattern = "/tmp/bth-control-test-XXXXXX";
+        this->path = ::mkdtemp(pattern.data());
+    }
+    scratch_folder(const scratch_folder&) = delete;
+    scratch_folder& operator=(const scratch_folder&) = delete;
+    ~scratch_folder() { std::filesystem::remove_all(this->path); }
+
+    std::string path;
+};
+
+} // namespace
+
+TEST(edit_service, edits_are_answered_with_status_and_body)
+{
+    fake_proposer decider;
+    const auto at = std::make_shared<service>(decider, ids_kept);
+    const auto accepted = submit(at, text_edit("a", 0, 3));
+    UNSIGNED_LONGS_EQUAL(200, accepted.result_int());
+    const auto again = submit(at, text_edit("a", 0, 3));
+    STRCMP_EQUAL(accepted.body().c_str(), again.body().c_str());
+    UNSIGNED_LONGS_EQUAL(409, submit(at, text_edit("b", 0, 4)).result_int());
+    const edit bad{"c", revision{1}, "ada", bth::control::text_change{"{}"}, ids_kept};
+    UNSIGNED_LONGS_EQUAL(422, submit(at, bad).result_int());
+    UNSIGNED_LONGS_EQUAL(400, ask(at, verb::post, "/edits", "{").result_int());
+    UNSIGNED_LONGS_EQUAL(404, ask(at, verb::get, "/edits").result_int());
+    const auto text = ask(at, verb::get, "/text");
+    STRCMP_EQUAL(sample_text(3).c_str(), text.body().c_str());
+    STRCMP_EQUAL("1", std::string{text["Bth-Version"]}.c_str());
+}
+
+TEST(edit_service, no_decision_is_never_passed_off_as_one)
+{
+    fake_proposer decider;
+    const auto at = std::make_shared<service>(decider, ids_kept);
+    decider.failure = {proposal_failure_reason::no_quorum, bth::run_state::no, "no majority"};
+    const auto refused = submit(at, text_edit("a", 0, 3));
+    UNSIGNED_LONGS_EQUAL(503, refused.result_int());
+    CHECK_TRUE(shows(refused, "not accepted: no majority"));
+    UNSIGNED_LONGS_EQUAL(503, ask(at, verb::get, "/text").result_int());
+    decider.failure->accepted = bth::run_state::unknown;
+    const auto unknown = submit(at, text_edit("a", 0, 3));
+    UNSIGNED_LONGS_EQUAL(504, unknown.result_int());
+    CHECK_TRUE(shows(unknown, "unknown: resend with the same id"));
+}
+
+TEST(edit_service, each_outcome_has_its_counter)
+{
+    fake_proposer decider;
+    const auto at = std::make_shared<service>(decider, ids_kept);
+    submit(at, text_edit("a", 0, 3));
+    submit(at, text_edit("a", 0, 3));
+    submit(at, text_edit("a", 0, 5));
+    submit(at, text_edit("b", 0, 4));
+    ask(at, verb::post, "/edits", "{");
+    decider.failure = {proposal_failure_reason::no_quorum, bth::run_state::unknown, ""};
+    submit(at, text_edit("c", 1, 4));
+    const auto page = ask(at, verb::get, "/metrics");
+    for (const char* line :
+         {"bth_control_edits_total{outcome=\"accepted\"} 1",
+          "bth_control_edits_total{outcome=\"version_conflict\"} 1",
+          "bth_control_edits_total{outcome=\"id_reused\"} 1",
+          "bth_control_edits_total{outcome=\"text_refused\"} 0",
+          "bth_control_edits_undecided_total{accepted=\"unknown\",reason=\"no_quorum\"} 1",
+          "bth_control_edits_undecided_total{accepted=\"no\",reason=\"no_quorum\"} 0",
+          "bth_control_edit_resends_total 1", "bth_control_bad_requests_total 1",
+          "bth_control_version 1"}) {
+        CHECK_TRUE_TEXT(shows(page, std::string{line} + "\n"), line);
+    }
+}
+
+TEST(edit_service, status_is_shown_as_json_and_as_an_escaped_page)
+{
+    fake_proposer decider;
+    const auto at = std::make_shared<service>(decider, ids_kept);
+    CHECK_TRUE(shows(ask(at, verb::get, "/status?x=1"), "\"version\" : 0"));
+    const auto page = ask(at, verb::get, "/");
+    CHECK_TRUE(shows(page, "&lt;leader&gt;"));
+    CHECK_FALSE(shows(page, "<leader>"));
+}
+
+TEST(local_proposer, answers_survive_a_restart)
+{
+    const scratch_folder folder;
+    std::string first;
+    {
+        auto decider = bth::control::local_proposer::open("c1", folder.path);
+        CHECK_TRUE(decider.has_value());
+        first = result_of(decider->propose(text_edit("a", 0, 3)))->answer.body;
+    }
+    auto decider = bth::control::local_proposer::open("c1", folder.path);
+    CHECK_TRUE(decider.has_value());
+    const auto again = result_of(decider->propose(text_edit("a", 0, 3)));
+    CHECK_TRUE(again->resend);
+    STRCMP_EQUAL(first.c_str(), again->answer.body.c_str());
+    UNSIGNED_LONGS_EQUAL(1, decider->status().version.value());
+}
+
+TEST(local_proposer, a_failed_save_is_unknown_until_the_restart)
+{
+    const scratch_folder folder;
+    auto decider = bth::control::local_proposer::open("c1", folder.path);
+    CHECK_TRUE(decider.has_value());
+    std::filesystem::create_directory(folder.path + "/edits.snapshot.new");
+    const auto lost = result_of(decider->propose(text_edit("a", 0, 3)));
+    CHECK_FALSE(lost.has_value());
+    CHECK_TRUE(lost.error().accepted == bth::run_state::unknown);
+    std::filesystem::remove(folder.path + "/edits.snapshot.new");
+    CHECK_FALSE(result_of(decider->propose(text_edit("a", 0, 3))).has_value());
+    CHECK_FALSE(result_of(decider->read()).has_value());
+}
+
+TEST(local_proposer, a_folder_that_is_missing_taken_or_damaged_is_refused)
+{
+    const scratch_folder folder;
+    CHECK_FALSE(bth::control::local_proposer::open("c1", folder.path + "/none").has_value());
+    {
+        const auto first = bth::control::local_proposer::open("c1", folder.path);
+        CHECK_TRUE(first.has_value());
+        CHECK_FALSE(bth::control::local_proposer::open("c1", folder.path).has_value());
+    }
+    const auto opened = bth::control::data_folder::open(folder.path);
+    CHECK_TRUE(opened->replace_snapshot({1, 2, 3}).has_value());
+    CHECK_FALSE(bth::control::local_proposer::open("c1", folder.path).has_value());
+}
--- /dev/null
+++ b/bth/control/main.cpp
@@ -0,0 +1,92 @@
+// bth-control: accepts the operators' edits.
+#include "bth/control/edit_service.h"
+#include "bth/control/local_proposer.h"
+#include "bth/control/settings.h"
+#include "bth/shell/files.h"
+#include "bth/shell/log.h"
+#include "bth/shell/net.h"
+#include "bth/shell/simple_http.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <string>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+namespace {
+
+using bth::control::control_settings;
+using bth::control::local_proposer;
+
+int fail(const std::string& why)
+{
+    std::cerr << "bth-control: " << why << "\n";
+    return EXIT_FAILURE;
+}
+
+// Answers operators until a signal to stop; requests under way are finished.
+int serve(const control_settings& settings, local_proposer& decider)
+{
+    boost::asio::io_context context;
+    auto acceptor = bth::shell::listen_on(context.get_executor(), settings.http);
+    if (!acceptor) {
+        return fail(acceptor.error());
+    }
+    const auto log = log4cplus::Logger::getInstance("control");
+    const auto service =
+        std::make_shared<bth::control::edit_service<local_proposer>>(decider, settings.ids_kept);
+    const auto server =
+        std::make_shared<bth::shell::http_server>(std::move(*acceptor), service->handler());
+    server->start();
+    boost::asio::signal_set signals{context, SIGTERM, SIGINT};
+    signals.async_wait([&](const boost::system::error_code& error, int) {
+        if (!error) {
+            LOG4CPLUS_INFO(log, "Stopping.");
+            server->stop();
+        }
+    });
+    LOG4CPLUS_INFO(log, "Listening on " << bth::to_string(settings.http) << " with version "
+                                        << decider.status().version.value() << ".");
+    std::cout << "ready" << std::endl;
+    context.run();
+    return EXIT_SUCCESS;
+}
+
+int run(const std::string& settings_file)
+{
+    const auto text = bth::shell::read_file(settings_file);
+    if (!text) {
+        return fail(text.error());
+    }
+    const auto settings = bth::control::read_control_settings(settings_file, *text);
+    if (!settings) {
+        std::cerr << to_string(settings.error());
+        return EXIT_FAILURE;
+    }
+    if (settings->members.size() != 1) {
+        return fail("\"members\" names " + std::to_string(settings->members.size()) +
+                    " control hosts, but this version decides alone");
+    }
+    const bth::shell::logging_session logging{settings->log};
+    auto decider = local_proposer::open(settings->host, settings->data_folder);
+    if (!decider) {
+        return fail(decider.error());
+    }
+    return serve(*settings, *decider);
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    CLI::App app{"Accepts the operators' edits."};
+    std::string settings_file;
+    app.add_option("settings,--settings", settings_file, "JSON file with this process's settings")
+        ->required();
+    CLI11_PARSE(app, count, arguments);
+    return run(settings_file);
+}
--- a/bth/shell/simple_http.cpp
+++ b/bth/shell/simple_http.cpp
@@ -26,8 +26,10 @@
 constexpr std::uint64_t body_limit = 64ULL * 1024 * 1024;
 constexpr std::chrono::seconds idle_limit{30};
 
+} // namespace
+
 // One connection; it lives as long as its coroutine runs.
-class session : public std::enable_shared_from_this<session> {
+class http_server::session : public std::enable_shared_from_this<http_server::session> {
 public:
     session(asio::ip::tcp::socket socket, http_handler handler)
         : stream{std::move(socket)}, handler{std::move(handler)}
@@ -40,11 +42,19 @@
             asio::detached);
     }
 
+    void stop()
+    {
+        this->stopping = true;
+        if (!this->busy) {
+            this->stream.cancel();
+        }
+    }
+
 private:
     asio::awaitable<void> run()
     {
         bool keep_alive = true;
-        while (keep_alive) {
+        while (keep_alive && !this->stopping) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(body_limit);
             boost::system::error_code error;
@@ -54,9 +64,11 @@
             if (error) {
                 co_return;
             }
+            this->busy = true;
             keep_alive = parser.get().keep_alive();
             this->stream.expires_never();
             http_response response = co_await this->handler(parser.release());
+            keep_alive = keep_alive && !this->stopping;
             response.keep_alive(keep_alive);
             response.prepare_payload();
             this->stream.expires_after(idle_limit);
@@ -65,16 +77,18 @@
             if (error) {
                 co_return;
             }
+            this->busy = false;
         }
     }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     http_handler handler;
+    // Between the end of a request and the end of its answer.
+    bool busy{};
+    bool stopping{};
 };
 
-} // namespace
-
 http_response make_response(const http_request& request, http::status status,
                             const std::string& media_type, std::string body)
 {
@@ -88,6 +102,8 @@
     : acceptor{std::move(acceptor)}, handler{std::move(handler)}
 {}
 
+http_server::~http_server() = default;
+
 void http_server::start()
 {
     asio::co_spawn(
@@ -99,6 +115,11 @@
 {
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
+    for (const auto& each : this->sessions) {
+        if (const auto live = each.lock()) {
+            live->stop();
+        }
+    }
 }
 
 asio::awaitable<void> http_server::accept_all()
@@ -109,24 +130,27 @@
             co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (!error) {
             socket.set_option(asio::ip::tcp::no_delay{true}, error);
-            std::make_shared<session>(std::move(socket), this->handler)->start();
+            std::erase_if(this->sessions, [](const auto& each) { return each.expired(); });
+            const auto made = std::make_shared<session>(std::move(socket), this->handler);
+            this->sessions.push_back(made);
+            made->start();
         }
     }
 }
 
-asio::awaitable<tl::expected<http_response, std::string>>
-http_call(endpoint where, http_request request, duration limit)
+asio::awaitable<tl::expected<http_response, http_call_failure>>
+http_try(endpoint where, http_request request, duration limit)
 {
     beast::tcp_stream stream{co_await asio::this_coro::executor};
     boost::system::error_code error;
-    const auto fail = [&](const char* step) {
-        return tl::unexpected{"can't " + std::string{step} + " " + to_string(where) + ": " +
-                              error.message()};
+    const auto fail = [&](const char* step, bool sent) {
+        return tl::unexpected{http_call_failure{
+            sent, "can't " + std::string{step} + " " + to_string(where) + ": " + error.message()}};
     };
     stream.expires_after(limit);
     co_await stream.async_connect(to_asio(where), asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        co_return fail("connect to");
+        co_return fail("connect to", false);
     }
     request.version(11);
     request.keep_alive(false);
@@ -136,7 +160,7 @@
     request.prepare_payload();
     co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        co_return fail("send to");
+        co_return fail("send to", true);
     }
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
@@ -144,9 +168,19 @@
     co_await http::async_read(stream, buffer, parser,
                               asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        co_return fail("read the answer of");
+        co_return fail("read the answer of", true);
     }
     co_return parser.release();
 }
 
+asio::awaitable<tl::expected<http_response, std::string>>
+http_call(endpoint where, http_request request, duration limit)
+{
+    auto answer = co_await http_try(where, std::move(request), limit);
+    if (!answer) {
+        co_return tl::unexpected{std::move(answer.error().message)};
+    }
+    co_return std::move(*answer);
+}
+
 } // namespace bth::shell
--- a/bth/shell/simple_http.h
+++ b/bth/shell/simple_http.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -36,19 +37,37 @@
 class http_server : public std::enable_shared_from_this<http_server> {
 public:
     http_server(boost::asio::ip::tcp::acceptor acceptor, http_handler handler);
+    ~http_server();
 
     void start();
+    // Accepts nothing more, closes idle connections, and closes each busy one once its answer is
+    // written.
     void stop();
 
 private:
+    class session;
+
     boost::asio::awaitable<void> accept_all();
 
     boost::asio::ip::tcp::acceptor acceptor;
     http_handler handler;
+    std::vector<std::weak_ptr<session>> sessions;
+};
+
+// Why a call got no answer.
+struct http_call_failure {
+    // Whether any byte of the request may have reached the other side.
+    bool sent{};
+    // One sentence that names the step and the system's error.
+    std::string message;
 };
 
-// Sends one request on a connection of its own and returns the whole answer, or one sentence that
-// says what failed. `limit` bounds the whole call.
+// Sends one request on a connection of its own and returns the whole answer. `limit` bounds the
+// whole call.
+boost::asio::awaitable<tl::expected<http_response, http_call_failure>>
+http_try(endpoint where, http_request request, duration limit);
+
+// The same, with only the sentence of a failure.
 boost::asio::awaitable<tl::expected<http_response, std::string>>
 http_call(endpoint where, http_request request, duration limit);
 
