--- a/bth/steering/shift_limiter_test.cpp
+++ b/bth/steering/shift_limiter_test.cpp
@@ -1,6 +1,6 @@
 #include "bth/steering/shift_limiter.h"
 
-#include "bth/steering/testing/small_model.h"
+#include "bth/steering/testing/small_site.h"
 
 #include <memory>
 
@@ -72,8 +72,8 @@
         return result;
     }
 
-    std::shared_ptr<const config::model> model =
-        std::make_shared<config::model>(testing::small_model());
+    std::shared_ptr<const config::model> model = testing::small_site(
+        {{"\"retry_budget\"", R"("shift_cap":{"share":0.25,"window_s":60},"retry_budget")"}});
     time_point now{1h};
     shift_limiter limiter;
     tally own_result;
