--- a/bth/base/finding.cpp
+++ b/bth/base/finding.cpp
@@ -10,6 +10,18 @@
     this->rows.push_back({std::move(place), std::move(message), std::move(expected)});
 }
 
+void findings::add_warning(source_place place, std::string message, std::string expected)
+{
+    this->rows.push_back(
+        {std::move(place), std::move(message), std::move(expected), severity::warning});
+}
+
+bool findings::has_errors() const
+{
+    return std::any_of(this->rows.begin(), this->rows.end(),
+                       [](const finding& each) { return each.level == severity::error; });
+}
+
 source_place place_of_offset(std::string_view file, std::string_view text, std::size_t offset)
 {
     const std::string_view before = text.substr(0, std::min(offset, text.size()));
@@ -27,7 +39,8 @@
     if (what.place.line != 0) {
         line += ':' + std::to_string(what.place.line) + ':' + std::to_string(what.place.column);
     }
-    line += ": " + what.message;
+    line += what.level == severity::warning ? ": warning: " : ": ";
+    line += what.message;
     if (!what.expected.empty()) {
         line += "; expected " + what.expected;
     }
--- a/bth/config/difference.cpp
+++ b/bth/config/difference.cpp
@@ -62,7 +62,7 @@
     return out;
 }
 
-void add_row(difference& out, std::size_t most_rows, row_difference row)
+void add_row(text_difference& out, std::size_t most_rows, row_difference row)
 {
     if (out.rows.size() < most_rows) {
         out.rows.push_back(std::move(row));
@@ -92,7 +92,7 @@
         }
     }
     if (row.isMember("from") && row.isMember("to")) {
-        return string_at(row, "from") + "->" + string_at(row, "to");
+        return string_at(row, "from") + ">" + string_at(row, "to");
     }
     for (const char* kind : drain_kinds) {
         if (row.isMember(kind)) {
@@ -102,11 +102,12 @@
     return {};
 }
 
-difference difference_of(const std::string& before, const std::string& after, std::size_t most_rows)
+text_difference difference_of(const std::string& before, const std::string& after,
+                              std::size_t most_rows)
 {
     const row_table old_rows = rows_of(before);
     const row_table new_rows = rows_of(after);
-    difference out;
+    text_difference out;
     auto was = old_rows.begin();
     auto is = new_rows.begin();
     while (was != old_rows.end() || is != new_rows.end()) {
--- a/bth/config/difference.h
+++ b/bth/config/difference.h
@@ -1,7 +1,7 @@
 // The difference of two operators' texts as rows that were added, removed or changed. Operators see
 // it when another edit won the version that theirs expected.
 //
-//   difference changes = difference_of(before, after, 50);
+//   text_difference changes = difference_of(before, after, 50);
 //   for (const row_difference& row : changes.rows) { use(row.section, row.name); }
 #pragma once
 
@@ -30,7 +30,7 @@
     std::string after;
 };
 
-struct difference {
+struct text_difference {
     // By section and name, both in byte order.
     std::vector<row_difference> rows;
     // Further rows that differ but aren't listed.
@@ -39,10 +39,10 @@
 
 // The rows in which the texts differ; at most `most_rows` of them are listed. Comments, layout and
 // the order of rows don't count. A text that is no JSON object counts as one without rows.
-difference difference_of(const std::string& before, const std::string& after,
-                         std::size_t most_rows);
+text_difference difference_of(const std::string& before, const std::string& after,
+                              std::size_t most_rows);
 
-// The name of a row within its section: "name" where the row has one, "FROM->TO" for links, the
+// The name of a row within its section: "name" where the row has one, "FROM>TO" for links, the
 // block for client blocks and "KIND:NAME" for drains. Empty if the row has none of these.
 std::string row_name(const Json::Value& row);
 
--- a/bth/config/difference_test.cpp
+++ b/bth/config/difference_test.cpp
@@ -31,7 +31,7 @@
     UNSIGNED_LONGS_EQUAL(6, found.rows.size());
     STRCMP_EQUAL("added client_blocks 10.0.0.0/8", line(found.rows.at(0)).c_str());
     STRCMP_EQUAL("removed drains target:a", line(found.rows.at(1)).c_str());
-    STRCMP_EQUAL("changed links x->y", line(found.rows.at(2)).c_str());
+    STRCMP_EQUAL("changed links x>y", line(found.rows.at(2)).c_str());
     STRCMP_EQUAL("changed targets a", line(found.rows.at(3)).c_str());
     STRCMP_EQUAL("removed targets b", line(found.rows.at(4)).c_str());
     STRCMP_EQUAL("added targets c", line(found.rows.at(5)).c_str());
--- a/bth/config/text.cpp
+++ b/bth/config/text.cpp
@@ -1,8 +1,8 @@
 #include "bth/config/text.h"
 
 #include "bth/config/json_reader.h"
+#include "bth/config/text_checks.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace bth::config {
@@ -41,7 +41,11 @@
                  std::optional<Id> (*find)(const model&, std::string_view), std::string_view kind)
     {
         const auto name = at.required_string(key);
-        return name ? this->resolve(*name, at.place_of(key), find, kind) : Id{};
+        if (!name) {
+            this->references_hold = false;
+            return Id{};
+        }
+        return this->resolve(*name, at.place_of(key), find, kind);
     }
 
     template <class Id>
@@ -51,6 +55,7 @@
         const auto id = find(this->out, name);
         if (!id) {
             this->found->add(place, "no " + std::string{kind} + " is named \"" + name + "\"");
+            this->references_hold = false;
         }
         return id.value_or(Id{});
     }
@@ -80,14 +85,12 @@
     void read_target(const Json::Value& value);
     void read_client_block(const Json::Value& value);
     void read_drain(const Json::Value& value);
-    void check_region_caps(json_object& root);
-    void check_public_class(json_object& root);
-    void check_dependency_cycles(json_object& root);
-    bool reaches(service_id from, service_id wanted, std::size_t depth) const;
 
     const json_document* document;
     findings* found;
     model out;
+    // Whether each name that stands for another row was found.
+    bool references_hold{true};
 };
 
 model text_reader::read()
@@ -113,10 +116,11 @@
     root.each("client_blocks",
               [this](const Json::Value& value) { this->read_client_block(value); });
     root.each("drains", [this](const Json::Value& value) { this->read_drain(value); });
-    this->check_region_caps(root);
-    this->check_public_class(root);
-    this->check_dependency_cycles(root);
     root.finish();
+    check_values(this->out, *this->document, *this->found);
+    if (this->references_hold) {
+        check_relations(this->out, *this->document, *this->found);
+    }
     return std::move(this->out);
 }
 
@@ -340,6 +344,7 @@
     read_subject("failure_domain", find_domain, "failure domain");
     read_subject("region", find_region, "region");
     if (subjects != 1) {
+        this->references_hold = false;
         this->found->add(at.place(), "a drain names one thing",
                          "one of: target, host, failure_domain, region");
     }
@@ -349,87 +354,30 @@
     this->out.drains.push_back(row);
 }
 
-void text_reader::check_region_caps(json_object& root)
-{
-    constexpr double tolerance = 1e-6;
-    for (std::size_t index = 0; index < this->out.regions.size(); ++index) {
-        const region& row = this->out.regions.at(index);
-        capacity sum;
-        std::uint64_t in_flight = 0;
-        for (const failure_domain& domain : this->out.domains) {
-            if (domain.region.index() == index) {
-                sum.rate += domain.cap.rate;
-                in_flight += domain.cap.in_flight;
-            }
-        }
-        if (sum.rate.value() > row.cap.rate.value() + tolerance || in_flight > row.cap.in_flight) {
-            root.report("regions",
-                        "the caps of the failure domains of region \"" + row.name +
-                            "\" exceed its own",
-                        "domain caps whose sum is at most the region's cap");
-        }
-    }
-}
-
-void text_reader::check_public_class(json_object& root)
-{
-    std::size_t keyless = 0;
-    for (std::size_t index = 0; index < this->out.classes.size(); ++index) {
-        if (this->out.classes.at(index).key_sha256.empty()) {
-            this->out.public_class = class_id::from_index(index);
-            ++keyless;
-        }
-    }
-    if (keyless != 1) {
-        root.report("caller_classes",
-                    std::to_string(keyless) + " caller classes have no \"key_sha256\"",
-                    "exactly one, the class of callers who prove nothing");
-    }
-}
-
-void text_reader::check_dependency_cycles(json_object& root)
-{
-    for (std::size_t index = 0; index < this->out.services.size(); ++index) {
-        const auto self = service_id::from_index(index);
-        for (const dependency& each : this->out.services.at(index).depends_on) {
-            if (this->reaches(each.service, self, this->out.services.size())) {
-                root.report("services", "service \"" + this->out.at(self).name +
-                                            "\" depends on itself, in the end");
-                break;
-            }
-        }
-    }
-}
+} // namespace
 
-bool text_reader::reaches(service_id from, service_id wanted, std::size_t depth) const
+text_report check_text(std::string file, std::string text)
 {
-    if (from == wanted) {
-        return true;
+    text_report out;
+    const auto document = json_document::parse(std::move(file), std::move(text), out.found);
+    if (!document) {
+        return out;
     }
-    if (depth == 0) {
-        return false;
+    text_reader reader{*document, out.found};
+    model read = reader.read();
+    if (!out.found.has_errors()) {
+        out.read = std::move(read);
     }
-    const auto& next = this->out.at(from).depends_on;
-    return std::any_of(next.begin(), next.end(), [&](const dependency& each) {
-        return this->reaches(each.service, wanted, depth - 1);
-    });
+    return out;
 }
 
-} // namespace
-
 tl::expected<model, findings> read_text(std::string file, std::string text)
 {
-    findings found;
-    const auto document = json_document::parse(std::move(file), std::move(text), found);
-    if (!document) {
-        return tl::unexpected{std::move(found)};
-    }
-    text_reader reader{*document, found};
-    model out = reader.read();
-    if (!found.empty()) {
-        return tl::unexpected{std::move(found)};
+    text_report report = check_text(std::move(file), std::move(text));
+    if (!report.read) {
+        return tl::unexpected{std::move(report.found)};
     }
-    return out;
+    return std::move(*report.read);
 }
 
 } // namespace bth::config
--- a/bth/control/edit_book.h
+++ b/bth/control/edit_book.h
@@ -28,7 +28,7 @@
     revision version;
     std::string edit_id;
     std::string author;
-    config::difference changes;
+    config::text_difference changes;
 };
 
 // The answer that a past edit got.
--- a/bth/control/main.cpp
+++ b/bth/control/main.cpp
@@ -5,27 +5,25 @@
 #include "bth/shell/files.h"
 #include "bth/shell/log.h"
 #include "bth/shell/net.h"
+#include "bth/shell/program.h"
 #include "bth/shell/simple_http.h"
 
-#include <csignal>
-#include <cstdlib>
-#include <iostream>
 #include <memory>
 #include <string>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 
 namespace {
 
 using bth::control::control_settings;
 using bth::control::local_proposer;
 
+constexpr const char* program = "bth-control";
+
 int fail(const std::string& why)
 {
-    std::cerr << "bth-control: " << why << "\n";
-    return EXIT_FAILURE;
+    return bth::shell::fail_start(program, why);
 }
 
 // Answers operators until a signal to stop; requests under way are finished.
@@ -42,18 +40,15 @@
     const auto server =
         std::make_shared<bth::shell::http_server>(std::move(*acceptor), service->handler());
     server->start();
-    boost::asio::signal_set signals{context, SIGTERM, SIGINT};
-    signals.async_wait([&](const boost::system::error_code& error, int) {
-        if (!error) {
-            LOG4CPLUS_INFO(log, "Stopping.");
-            server->stop();
-        }
+    bth::shell::on_stop_signal(context, [&] {
+        LOG4CPLUS_INFO(log, "Stopping.");
+        server->stop();
     });
     LOG4CPLUS_INFO(log, "Listening on " << bth::to_string(settings.http) << " with version "
                                         << decider.status().version.value() << ".");
-    std::cout << "ready" << std::endl;
+    bth::shell::announce_ready();
     context.run();
-    return EXIT_SUCCESS;
+    return bth::shell::exit_ok;
 }
 
 int run(const std::string& settings_file)
@@ -64,8 +59,7 @@
     }
     const auto settings = bth::control::read_control_settings(settings_file, *text);
     if (!settings) {
-        std::cerr << to_string(settings.error());
-        return EXIT_FAILURE;
+        return fail(to_string(settings.error()));
     }
     if (settings->members.size() != 1) {
         return fail("\"members\" names " + std::to_string(settings->members.size()) +
@@ -87,6 +81,11 @@
     std::string settings_file;
     app.add_option("settings,--settings", settings_file, "JSON file with this process's settings")
         ->required();
-    CLI11_PARSE(app, count, arguments);
+    try {
+        app.parse(count, arguments);
+    }
+    catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? bth::shell::exit_ok : bth::shell::exit_usage;
+    }
     return run(settings_file);
 }
--- a/bth/steering/testing/small_site.h
+++ b/bth/steering/testing/small_site.h
@@ -46,6 +46,8 @@
 "targets":[TARGETS],
 "client_blocks":[{"block":"127.10.0.0/16","failure_domain":"a"}],
 "drains":[]})";
+    constexpr int first_port = 81;
+    int port = first_port;
     std::string targets;
     for (const std::string_view service : {"web", "shop"}) {
         for (const std::string_view domain : {"a", "b", "c"}) {
@@ -54,7 +56,9 @@
                 targets.append(service).append("-").append(domain).append("-").append(number);
                 targets.append(R"(","service":")").append(service);
                 targets.append(R"(","failure_domain":")").append(domain);
-                targets.append(R"(","http":"127.2.0.1:80","slots":3,"connections":330})");
+                targets.append(R"(","http":"127.2.0.1:)").append(std::to_string(port));
+                targets.append(R"(","slots":3,"connections":330})");
+                ++port;
             }
         }
     }
