Admit by priority, choose targets by what was seen, and budget retries

Cause: a full service refused everybody alike, targets were chosen by tries in flight alone, a failed try was final whatever it was, and no check told whether any of this held.

Change: - admission: one short queue a service, strict between levels, round robin over home domains within one; four service times long while it empties now and then, one while it stands; what can't meet its deadline is refused at once; the lowest level gives way; the time to come back follows from the queue and the refusals of the last second. - target_table: the least of slots, connections, ramp by answers, the target's own word and, in silence, what was proved lately. Quick answers refute a false claim to be full. Ejection of at most half, return by one real try at a time. - retry_budget: a share of first tries over ten seconds. A request that passes two hosts counts half at each, so that all hosts together stay in the share. - A refusal after a try that may have run says unknown, whatever followed it. - node::check_invariants gives typed violations: slots, counts, queue bound, priority order, idle slots, budget, hops.

Ruled out: a fixed queue length (it is a different wait for each service), and a ramp by wall time (an idle cold target would count as warm).

Seen failing, each by switching off the mechanism in a scratch copy: level of priority, displacement, turns between domains, bound, standing bound, deadline in offer and in expire, count of refusals, budget, sliding window, slot limit, connection limit, ramp, silence, claim of the report, refutation, own count over reports, sheds, leaving, ejection, floor, doubling, single probe, slow target, avoidance of the failed target, the repeatable check, may_have_run, deadline on arrival, cancel of a waiting request, recount on apply, and the final answer of a waiting request whose service goes: the test of that name failed each time.

Not covered yet: dependencies, and the domain's cap, which is not drawn on.

--- a/bth/steering/internal/node_state.h
+++ b/bth/steering/internal/node_state.h
@@ -1,9 +1,13 @@
-// What a node holds and the steps by which it decides. node.cpp takes the events, flow.cpp decides
-// about requests, step by step in the order declared here.
+// What a node holds and the steps by which it decides. node.cpp takes the events; flow.cpp decides
+// about arrivals step by step in the order declared here, placement.cpp finds a place for what was
+// admitted, and completion.cpp follows the end of a try.
 #pragma once
 
+#include "bth/steering/admission.h"
 #include "bth/steering/node.h"
+#include "bth/steering/priority_audit.h"
 #include "bth/steering/request_table.h"
+#include "bth/steering/retry_budget.h"
 #include "bth/steering/target_table.h"
 
 #include <memory>
@@ -31,25 +35,59 @@
     // The decision steps of an arrival, in order. Each refuses or lets the next one decide.
     std::optional<refusal> check_ready(const arrival& request) const;
     std::optional<refusal> check_available(const arrival& request, time_point now) const;
+    bool forward_to_owner(request_row& row, time_point now, actions& out);
     std::optional<host_id> owner_elsewhere(const arrival& request, time_point now) const;
     std::optional<refusal> check_origin(request_row& row, time_point now);
     std::optional<refusal> check_domain_part(request_row& row, time_point now);
 
     // Finds a place for an admitted request: a target, the queue or a fallback domain. Refuses it
-    // if there is none.
+    // if there is none. (placement.cpp)
     void place(request_row& row, time_point now, actions& out);
     bool place_at_target(request_row& row, time_point now, actions& out);
-    bool place_at_fallback(request_row& row, time_point now, actions& out);
+    // Only domains whose detour isn't longer than `detour` are asked.
+    bool place_at_fallback(request_row& row, duration detour, time_point now, actions& out);
+    void place_in_queue(request_row& row, time_point now, actions& out);
     // The owner of the service's targets in a fallback domain that has granted room, if any.
-    std::optional<host_id> choose_fallback(const request_row& row, time_point now);
+    std::optional<host_id> choose_fallback(const request_row& row, duration detour, time_point now);
+    // The time that the way to another domain and back adds.
+    duration detour_to(domain_id other) const;
     void forward(request_row& row, host_id peer, time_point now, actions& out);
+    // Gives free slots to the requests that wait for them, and final answers to those that can't
+    // be served in time any more.
+    void serve_queue(service_id service, time_point now, actions& out);
+    // Refuses a request for lack of room, with a time to come back that follows from the state.
+    void refuse_for_lack(request_row& row, refusal_reason reason, time_point now, actions& out);
 
-    // Whether the request came from a host of another failure domain.
-    bool is_foreign(const arrival& request) const;
-    // Ends the present try: gives back the slot and all that the row holds.
+    // After a try: another one, or the final answer. (completion.cpp)
+    void retry_or_give_up(request_row& row, const try_result& result, time_point now, actions& out);
+    // Why the request may not be tried again, or nothing.
+    std::optional<refusal_reason> check_retry(const request_row& row, const try_result& result,
+                                              time_point now);
+    // Gives back the slot and all else that the present try holds.
     void release(request_row& row, time_point now);
     // Ends the request with a refusal.
-    void give_up(request_row& row, const refusal& why, run_state run, actions& out);
+    void give_up(request_row& row, const refusal& why, actions& out);
+
+    // Whether the request came from a host of another failure domain.
+    bool is_foreign(const arrival& request) const;
+    target_query query_for(const request_row& row) const;
+    service_capacity capacity_of(const request_row& row) const
+    {
+        return this->targets.capacity(row.request.service);
+    }
+    void count_first_try(request_row& row, bool forwards, time_point now);
+
+    // Takes a model into force in every table. (node.cpp)
+    void apply(std::shared_ptr<const config::model> next, revision number, time_point now,
+               actions& out);
+    void tick(time_point now, actions& out);
+
+    // What must hold. (node_check.cpp)
+    void check(violations& found) const;
+    void check_slots(const std::vector<std::uint64_t>& tries, violations& found) const;
+    void check_queues(const std::vector<std::uint64_t>& waiting, violations& found) const;
+    // Whether the first of the queue could have a slot now.
+    bool could_serve_next(service_id service) const;
 
     bool ready() const { return this->model != nullptr && this->host.has_value(); }
     domain_id domain() const { return this->model->at(*this->host).domain; }
@@ -60,6 +98,11 @@
     std::optional<host_id> host;
     request_table requests;
     target_table targets;
+    admission queues;
+    retry_budget retries;
+    priority_audit audit;
+    // The time of the last event.
+    time_point latest;
     bool stopping{};
     time_point stop_began;
 };
--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -2,41 +2,71 @@
 
 #include "bth/steering/internal/node_state.h"
 
+#include <limits>
 #include <utility>
 
 namespace bth::steering {
 
+namespace {
+
+// Names no failure domain: a host that the configuration doesn't know has no targets.
+constexpr domain_id no_domain{std::numeric_limits<domain_id::rep>::max()};
+
+} // namespace
+
 node::node(node_settings settings) : self{std::make_unique<state>(std::move(settings))} {}
 node::node(node&&) noexcept = default;
 node& node::operator=(node&&) noexcept = default;
 node::~node() = default;
 
-actions node::apply(std::shared_ptr<const config::model> next, revision number, clock_reading now)
+void node::state::apply(std::shared_ptr<const config::model> next, revision number, time_point now,
+                        actions& out)
 {
-    (void)now;
-    state& self = *this->self;
-    if (self.model != nullptr && number < self.configuration) {
-        return {};
+    std::optional<model_map> map;
+    if (this->model != nullptr) {
+        map.emplace(*this->model, *next);
     }
-    std::optional<model_map> change;
-    if (self.model != nullptr) {
-        change.emplace(*self.model, *next);
+    const model_map* change = map ? &*map : nullptr;
+    this->host = config::find_host(*next, this->settings.host_name);
+    this->model = std::move(next);
+    this->configuration = number;
+    this->requests.remap(change);
+    this->targets.apply(*this->model, this->host ? this->domain() : no_domain, change, now);
+    for (const auto& [id, row] : this->requests.all()) {
+        if (row.target) {
+            this->targets.adopt(*row.target, now);
+        }
     }
-    self.host = config::find_host(*next, self.settings.host_name);
-    self.model = std::move(next);
-    self.configuration = number;
-    if (change) {
-        self.requests.remap(*change);
+    this->retries.apply(*this->model, change);
+    this->audit.apply(this->model->services.size(), change);
+    for (const waiting_request& gone : this->queues.apply(*this->model, change)) {
+        this->give_up(*this->requests.find(gone.id), {refusal_reason::unknown_service}, out);
     }
-    if (self.host) {
-        self.targets.apply(*self.model, self.domain(), change ? &*change : nullptr);
+    this->tick(now, out);
+}
+
+void node::state::tick(time_point now, actions& out)
+{
+    this->targets.tick(now);
+    for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
+        this->serve_queue(service_id::from_index(index), now, out);
     }
-    return {};
+}
+
+actions node::apply(std::shared_ptr<const config::model> next, revision number, clock_reading now)
+{
+    actions out;
+    this->self->latest = now.monotonic;
+    if (this->self->model == nullptr || number >= this->self->configuration) {
+        this->self->apply(std::move(next), number, now.monotonic, out);
+    }
+    return out;
 }
 
 actions node::arrive(const arrival& request, time_point now)
 {
     actions out;
+    this->self->latest = now;
     this->self->arrive(request, now, out);
     return out;
 }
@@ -44,6 +74,7 @@
 actions node::finished(const try_result& result, time_point now)
 {
     actions out;
+    this->self->latest = now;
     this->self->finish(result, now, out);
     return out;
 }
@@ -59,15 +90,18 @@
 actions node::peer_lost(host_id peer, time_point now)
 {
     actions out;
+    this->self->latest = now;
     this->self->cancel_forwarded_by(peer, now, out);
     return out;
 }
 
 actions node::report(const load_report& report, time_point now)
 {
-    (void)report;
-    (void)now;
-    return {};
+    actions out;
+    this->self->latest = now;
+    this->self->targets.report(report, now);
+    this->self->tick(now, out);
+    return out;
 }
 
 actions node::platform(const platform_list& list, time_point now)
@@ -86,8 +120,10 @@
 
 actions node::tick(clock_reading now)
 {
-    (void)now;
-    return {};
+    actions out;
+    this->self->latest = now.monotonic;
+    this->self->tick(now.monotonic, out);
+    return out;
 }
 
 lookup_answer node::lookup(const lookup_query& query, time_point now)
@@ -122,4 +158,11 @@
     return this->self->requests.size();
 }
 
+violations node::check_invariants() const
+{
+    violations found;
+    this->self->check(found);
+    return found;
+}
+
 } // namespace bth::steering
--- a/bth/steering/node.h
+++ b/bth/steering/node.h
@@ -14,6 +14,7 @@
 #include "bth/base/time.h"
 #include "bth/config/model.h"
 #include "bth/steering/events.h"
+#include "bth/steering/invariants.h"
 #include "bth/steering/messages.h"
 
 #include <memory>
@@ -62,6 +63,9 @@
     bool may_exit(time_point now) const;
     std::size_t in_flight() const;
 
+    // What must hold and doesn't, as of the last event. Empty in every run that is right.
+    violations check_invariants() const;
+
 private:
     struct state;
     std::unique_ptr<state> self;
--- /dev/null
+++ b/bth/steering/placement.cpp
@@ -0,0 +1,177 @@
+// Where an admitted request goes: a target, the queue, or an entry host of a fallback domain.
+#include "bth/steering/internal/node_state.h"
+
+namespace bth::steering {
+
+namespace {
+
+// The time that the way to another domain of the same region and back adds.
+constexpr duration detour_within_region = std::chrono::milliseconds{2};
+constexpr duration any_detour = duration::max();
+
+waiting_request waiting_of(const request_row& row)
+{
+    return {row.request.id, row.request.service, row.level, row.request.home, row.request.deadline};
+}
+
+} // namespace
+
+void node::state::place(request_row& row, time_point now, actions& out)
+{
+    const service_id service = row.request.service;
+    if (this->audit.outranked(service, row.level, now)) {
+        if (!this->place_at_fallback(row, any_detour, now, out)) {
+            this->refuse_for_lack(row, refusal_reason::priority, now, out);
+        }
+        return;
+    }
+    const auto capacity = this->capacity_of(row);
+    if (now + capacity.service_time > row.request.deadline) {
+        this->refuse_for_lack(row, refusal_reason::deadline, now, out);
+        return;
+    }
+    if (!this->queues.must_wait(service, row.level) && this->place_at_target(row, now, out)) {
+        return;
+    }
+    const duration wait = this->queues.expected_wait(service, row.level, capacity);
+    if (this->place_at_fallback(row, wait, now, out)) {
+        return;
+    }
+    this->place_in_queue(row, now, out);
+}
+
+target_query node::state::query_for(const request_row& row) const
+{
+    const auto capacity = this->capacity_of(row);
+    return {.service = row.request.service,
+            .avoid = &row.tried_targets,
+            .may_probe = row.request.repeatable && !row.retried(),
+            .patience = this->queues.expected_wait(row.request.service, row.level, capacity)};
+}
+
+bool node::state::place_at_target(request_row& row, time_point now, actions& out)
+{
+    const auto target = this->targets.choose(this->query_for(row), now);
+    if (!target || this->check_domain_part(row, now)) {
+        return false;
+    }
+    this->audit.admitted(row.request.service, row.level,
+                         this->queues.highest_waiting(row.request.service), now);
+    this->count_first_try(row, false, now);
+    this->targets.begin(*target, now);
+    row.phase = request_phase::at_target;
+    row.target = target;
+    row.try_began = now;
+    out.push_back(send_to_target{row.request.id, *target, row.request.deadline});
+    return true;
+}
+
+bool node::state::place_at_fallback(request_row& row, duration detour, time_point now, actions& out)
+{
+    if (this->is_foreign(row.request) || row.request.hops >= most_hops) {
+        return false;
+    }
+    const auto peer = this->choose_fallback(row, detour, now);
+    if (!peer) {
+        return false;
+    }
+    this->forward(row, *peer, now, out);
+    return true;
+}
+
+duration node::state::detour_to(domain_id other) const
+{
+    const region_id own = this->model->at(this->domain()).region;
+    const auto link = config::find_link(*this->model, own, this->model->at(other).region);
+    return link ? 2 * duration{this->model->at(*link).delay} : detour_within_region;
+}
+
+std::optional<host_id> node::state::choose_fallback(const request_row& row, duration detour,
+                                                    time_point now)
+{
+    (void)now;
+    for (const domain_id domain : this->model->at(this->domain()).fallbacks) {
+        if (this->detour_to(domain) > detour) {
+            continue;
+        }
+        for (std::size_t index = 0; index < this->model->hosts.size(); ++index) {
+            const auto peer = host_id::from_index(index);
+            if (this->model->at(peer).domain == domain && !row.has_tried(peer)) {
+                return peer;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+void node::state::forward(request_row& row, host_id peer, time_point now, actions& out)
+{
+    const bool retried = row.retried();
+    this->count_first_try(row, true, now);
+    row.phase = request_phase::at_peer;
+    row.peer = peer;
+    row.try_began = now;
+    const auto hops = static_cast<std::uint8_t>(row.request.hops + 1);
+    out.push_back(forward_to_host{row.request.id, peer, row.request.deadline, hops, retried});
+}
+
+void node::state::count_first_try(request_row& row, bool forwards, time_point now)
+{
+    if (row.first_try_counted || row.retried()) {
+        return;
+    }
+    row.first_try_counted = true;
+    this->retries.count_first_try(row.request.service, first_try_part(row.request.hops, forwards),
+                                  now);
+}
+
+void node::state::place_in_queue(request_row& row, time_point now, actions& out)
+{
+    row.phase = request_phase::waiting;
+    const auto answer = this->queues.offer(waiting_of(row), this->capacity_of(row), now);
+    for (const waiting_request& dropped : answer.dropped) {
+        request_row* other = this->requests.find(dropped.id);
+        if (!this->place_at_fallback(*other, any_detour, now, out)) {
+            const auto reason =
+                dropped.level > row.level ? refusal_reason::priority : refusal_reason::queue_full;
+            this->refuse_for_lack(*other, reason, now, out);
+        }
+    }
+    if (answer.refused && !this->place_at_fallback(row, any_detour, now, out)) {
+        this->refuse_for_lack(row, *answer.refused, now, out);
+    }
+}
+
+void node::state::serve_queue(service_id service, time_point now, actions& out)
+{
+    if (this->queues.waiting(service) == 0) {
+        return;
+    }
+    const auto capacity = this->targets.capacity(service);
+    for (const waiting_request& late : this->queues.expire(service, capacity, now)) {
+        this->refuse_for_lack(*this->requests.find(late.id), refusal_reason::deadline, now, out);
+    }
+    while (const auto id = this->queues.next(service)) {
+        request_row& row = *this->requests.find(*id);
+        if (!this->place_at_target(row, now, out)) {
+            return;
+        }
+        this->queues.remove(waiting_of(row));
+    }
+}
+
+void node::state::refuse_for_lack(request_row& row, refusal_reason reason, time_point now,
+                                  actions& out)
+{
+    const service_id service = row.request.service;
+    const bool hopeless = reason == refusal_reason::deadline;
+    if (!hopeless) {
+        this->audit.refused(service, row.level, this->queues.lowest_waiting(service), now);
+    }
+    this->queues.count_refusal(service, row.level, now);
+    const duration retry_after =
+        this->queues.retry_after(service, row.level, this->capacity_of(row), now);
+    this->give_up(row, {reason, retry_after}, out);
+}
+
+} // namespace bth::steering
--- a/bth/steering/request_table.cpp
+++ b/bth/steering/request_table.cpp
@@ -53,19 +53,28 @@
     return found == this->rows.end() ? nullptr : &found->second;
 }
 
+const request_row* request_table::find(request_id id) const
+{
+    const auto found = this->rows.find(id);
+    return found == this->rows.end() ? nullptr : &found->second;
+}
+
 void request_table::erase(request_id id)
 {
     this->rows.erase(id);
 }
 
-void request_table::remap(const model_map& change)
+void request_table::remap(const model_map* change)
 {
+    if (change == nullptr) {
+        return;
+    }
     for (auto& [id, row] : this->rows) {
-        remap_arrival(row, change);
-        remap_optional(row.target, change);
-        remap_optional(row.peer, change);
-        remap_list(row.tried_targets, change);
-        remap_list(row.tried_peers, change);
+        remap_arrival(row, *change);
+        remap_optional(row.target, *change);
+        remap_optional(row.peer, *change);
+        remap_list(row.tried_targets, *change);
+        remap_list(row.tried_peers, *change);
     }
 }
 
--- a/bth/steering/request_table.h
+++ b/bth/steering/request_table.h
@@ -45,8 +45,12 @@
     // Targets and entry hosts of failed tries, which further tries avoid.
     std::vector<target_id> tried_targets;
     std::vector<host_id> tried_peers;
+    // Whether the first try is counted in the retry budget.
+    bool first_try_counted{};
     // When the present try began.
     time_point try_began;
+    // Whether a failed try may have run the request: its refusal then can't say that it didn't run.
+    bool may_have_run{};
     // Whether the service has left the configuration; the request then ends with its present try.
     bool orphaned{};
 
@@ -73,9 +77,10 @@
     request_row& add(const arrival& request, priority_level level);
     // The row of a request, or nullptr.
     request_row* find(request_id id);
+    const request_row* find(request_id id) const;
     void erase(request_id id);
-    // Puts the ids of `change` into force in every row.
-    void remap(const model_map& change);
+    // Puts the ids of `change` into force in every row; nullptr changes nothing.
+    void remap(const model_map* change);
 
     std::size_t size() const { return this->rows.size(); }
     bool empty() const { return this->rows.empty(); }
--- a/bth/steering/target_table.cpp
+++ b/bth/steering/target_table.cpp
@@ -2,93 +2,261 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace bth::steering {
 
+using internal::target_row;
+using internal::target_standing;
+
 namespace {
 
 constexpr std::size_t no_row = std::numeric_limits<std::size_t>::max();
 
+// A target that takes longer than this many times the fastest one's time is slow.
+constexpr int slow_factor = 2;
+// After this time any request may probe an ejected target, not only a repeatable one.
+constexpr duration probe_wait = std::chrono::seconds{5};
+
+bool contains(const std::vector<target_id>* list, target_id target)
+{
+    return list != nullptr && std::find(list->begin(), list->end(), target) != list->end();
+}
+
+// Whether a try that ended so was served well.
+bool is_good(const try_result& result)
+{
+    return result.outcome == try_outcome::answered && !result.shed;
+}
+
+// Whether a try that ended so says nothing of the target.
+bool is_neutral(const try_result& result)
+{
+    return result.outcome == try_outcome::cancelled;
+}
+
 } // namespace
 
-void target_table::apply(const config::model& model, domain_id domain, const model_map* change)
+void target_table::apply(const config::model& model, domain_id domain, const model_map* change,
+                         time_point now)
 {
-    const std::vector<row> before = std::move(this->rows);
-    this->rows.clear();
+    const std::vector<target_row> before = std::exchange(this->rows, {});
     this->by_service.assign(model.services.size(), {});
     this->by_target.assign(model.targets.size(), no_row);
     for (std::size_t index = 0; index < model.targets.size(); ++index) {
         const config::target& target = model.targets.at(index);
         if (target.domain == domain) {
             this->by_target.at(index) = this->rows.size();
-            this->by_service.at(target.service.index()).push_back(this->rows.size());
-            this->rows.push_back({target_id::from_index(index), target.slots, 0});
+            this->by_service.at(target.service.index()).rows.push_back(this->rows.size());
+            this->rows.emplace_back(target_id::from_index(index), target,
+                                    model.at(target.service).service_time);
         }
     }
-    if (change == nullptr) {
-        return;
-    }
-    for (const row& old : before) {
-        const auto id = change->find(old.id);
-        row* kept = id ? this->find(*id) : nullptr;
+    for (const target_row& old : before) {
+        const auto id = change == nullptr ? std::nullopt : change->find(old.id);
+        target_row* kept = id ? this->find(*id) : nullptr;
         if (kept != nullptr) {
-            kept->in_flight = old.in_flight;
+            target_row merged = old;
+            merged.id = kept->id;
+            merged.service = kept->service;
+            merged.slots = kept->slots;
+            merged.connections = kept->connections;
+            merged.usual_time = kept->usual_time;
+            merged.in_flight = 0;
+            merged.grandfathered = 0;
+            *kept = merged;
         }
     }
+    this->tick(now);
 }
 
-std::optional<target_id>
-target_table::choose(service_id service, const std::vector<target_id>& avoid, time_point now) const
+std::optional<target_id> target_table::choose(const target_query& query, time_point now) const
 {
-    (void)now;
-    const row* best = nullptr;
-    for (const std::size_t index : this->by_service.at(service.index())) {
-        const row& each = this->rows.at(index);
-        const bool avoided = std::find(avoid.begin(), avoid.end(), each.id) != avoid.end();
-        if (avoided || each.in_flight >= each.slots) {
+    const service_rows& group = this->by_service.at(query.service.index());
+    const duration slowest = group.fastest * slow_factor + query.patience;
+    const target_row* best = nullptr;
+    duration best_score{};
+    for (const std::size_t index : group.rows) {
+        const target_row& row = this->rows.at(index);
+        if (!row.has_room() || contains(query.avoid, row.id)) {
             continue;
         }
-        if (best == nullptr || each.in_flight < best->in_flight) {
-            best = &each;
+        if (row.standing == target_standing::probing) {
+            if (query.may_probe || now - row.ejected_until >= probe_wait) {
+                return row.id;
+            }
+            continue;
+        }
+        const duration expected = row.expected_time(now);
+        const duration score = row.score(now);
+        if (expected <= slowest && (best == nullptr || score < best_score)) {
+            best = &row;
+            best_score = score;
         }
     }
     return best == nullptr ? std::nullopt : std::optional{best->id};
 }
 
+void target_table::adopt(target_id target, time_point now)
+{
+    if (target_row* row = this->find(target)) {
+        row->begin(now);
+        row->grandfathered = row->in_flight;
+    }
+}
+
 void target_table::begin(target_id target, time_point now)
 {
-    (void)now;
-    if (row* found = this->find(target)) {
-        ++found->in_flight;
+    if (target_row* row = this->find(target)) {
+        row->begin(now);
     }
 }
 
 void target_table::end(target_id target, const try_result& result, duration took, time_point now)
 {
-    (void)result;
-    (void)took;
-    (void)now;
-    if (row* found = this->find(target)) {
-        --found->in_flight;
+    target_row* row = this->find(target);
+    if (row == nullptr) {
+        return;
+    }
+    if (is_neutral(result)) {
+        --row->in_flight;
+    }
+    else if (is_good(result)) {
+        row->end_good(took, now);
+    }
+    else {
+        row->end_bad(result, now);
+        this->eject_if_bad(*row, now);
+    }
+    this->refresh(*row, now);
+}
+
+void target_table::eject_if_bad(target_row& row, time_point now)
+{
+    const bool in_service = row.standing == target_standing::in_service;
+    if (in_service && row.looks_bad() && this->may_eject(this->group_of(row))) {
+        row.eject(now);
+    }
+}
+
+// At most half of a service's targets are out by ejection, however bad the others look.
+bool target_table::may_eject(const service_rows& group) const
+{
+    const auto out = std::count_if(group.rows.begin(), group.rows.end(), [&](std::size_t index) {
+        const target_row& row = this->rows.at(index);
+        return row.closed || row.standing != target_standing::in_service;
+    });
+    return (static_cast<std::size_t>(out) + 1) * 2 <= group.rows.size();
+}
+
+void target_table::report(const load_report& report, time_point now)
+{
+    if (target_row* row = this->find(report.target)) {
+        row->hear(report, now);
+        this->refresh(*row, now);
+    }
+}
+
+void target_table::set_closed(target_id target, bool closed, time_point now)
+{
+    target_row* row = this->find(target);
+    if (row == nullptr || row->closed == closed) {
+        return;
+    }
+    row->closed = closed;
+    if (!closed) {
+        row->start_cold();
+    }
+    this->refresh(*row, now);
+}
+
+void target_table::tick(time_point now)
+{
+    for (target_row& row : this->rows) {
+        row.refresh(now);
+    }
+    for (service_rows& group : this->by_service) {
+        this->refresh_fastest(group);
+    }
+}
+
+void target_table::refresh(target_row& row, time_point now)
+{
+    row.refresh(now);
+    this->refresh_fastest(this->group_of(row));
+}
+
+void target_table::refresh_fastest(service_rows& group) const
+{
+    group.fastest = duration::max() / (slow_factor + 1);
+    for (const std::size_t index : group.rows) {
+        const target_row& row = this->rows.at(index);
+        if (row.limit > 0 && row.standing == target_standing::in_service) {
+            group.fastest = std::min(group.fastest, row.mean_time);
+        }
+    }
+}
+
+service_capacity target_table::capacity(service_id service) const
+{
+    service_capacity sum;
+    duration weighted{};
+    for (const std::size_t index : this->by_service.at(service.index()).rows) {
+        const target_row& row = this->rows.at(index);
+        sum.slots += row.limit;
+        weighted += row.mean_time * row.limit;
     }
+    sum.service_time = sum.slots == 0 ? duration{} : weighted / sum.slots;
+    return sum;
 }
 
 std::uint32_t target_table::in_flight(target_id target) const
 {
-    const row* found = this->find(target);
-    return found == nullptr ? 0 : found->in_flight;
+    const target_row* row = this->find(target);
+    return row == nullptr ? 0 : row->in_flight;
+}
+
+std::uint32_t target_table::limit(target_id target) const
+{
+    const target_row* row = this->find(target);
+    return row == nullptr ? 0 : row->limit;
+}
+
+std::uint32_t target_table::configured_slots(service_id service) const
+{
+    std::uint32_t sum = 0;
+    for (const std::size_t index : this->by_service.at(service.index()).rows) {
+        sum += this->rows.at(index).slots;
+    }
+    return sum;
 }
 
-target_table::row* target_table::find(target_id target)
+void target_table::check(violations& found) const
+{
+    for (const target_row& row : this->rows) {
+        const std::uint32_t allowed =
+            std::max(std::min(row.slots, row.connections), row.grandfathered);
+        if (row.in_flight > allowed) {
+            found.push_back({violation_kind::slots_exceeded, row.service, row.in_flight, allowed});
+        }
+    }
+}
+
+target_row* target_table::find(target_id target)
 {
     const std::size_t index = this->by_target.at(target.index());
     return index == no_row ? nullptr : &this->rows.at(index);
 }
 
-const target_table::row* target_table::find(target_id target) const
+const target_row* target_table::find(target_id target) const
 {
     const std::size_t index = this->by_target.at(target.index());
     return index == no_row ? nullptr : &this->rows.at(index);
 }
 
+target_table::service_rows& target_table::group_of(const target_row& row)
+{
+    return this->by_service.at(row.service.index());
+}
+
 } // namespace bth::steering
