--- a/bth/steering/internal/node_state.h
+++ b/bth/steering/internal/node_state.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "bth/steering/admission.h"
+#include "bth/steering/dependencies.h"
 #include "bth/steering/node.h"
 #include "bth/steering/priority_audit.h"
 #include "bth/steering/request_table.h"
@@ -46,6 +47,8 @@
     bool place_at_target(request_row& row, time_point now, actions& out);
     // Only domains whose detour isn't longer than `detour` are asked.
     bool place_at_fallback(request_row& row, duration detour, time_point now, actions& out);
+    // Sends the request elsewhere or refuses it, if a service that it depends on can't serve here.
+    bool leave_for_dependency(request_row& row, time_point now, actions& out);
     void place_in_queue(request_row& row, time_point now, actions& out);
     // The owner of the service's targets in a fallback domain that has granted room, if any.
     std::optional<host_id> choose_fallback(const request_row& row, duration detour, time_point now);
@@ -81,6 +84,11 @@
     void apply(std::shared_ptr<const config::model> next, revision number, time_point now,
                actions& out);
     void tick(time_point now, actions& out);
+    // Whether this host owns the service's targets in its domain.
+    bool owns(service_id service, time_point now) const;
+    // Learns from the own targets which services can serve, for the services that depend on them
+    // and for heartbeats.
+    void refresh_needs(time_point now);
 
     // What must hold. (node_check.cpp)
     void check(violations& found) const;
@@ -101,6 +109,7 @@
     admission queues;
     retry_budget retries;
     priority_audit audit;
+    dependencies needs;
     // The time of the last event.
     time_point latest;
     bool stopping{};
--- a/bth/steering/internal/target_row.cpp
+++ b/bth/steering/internal/target_row.cpp
@@ -31,6 +31,7 @@
 // What a failed try costs, in tries.
 constexpr double failure_cost = 8;
 constexpr std::uint32_t bad_connect_failures_in_row = 2;
+constexpr duration failure_memory = std::chrono::seconds{3};
 constexpr duration first_ejection = std::chrono::seconds{1};
 constexpr std::uint32_t most_doublings = 5;
 
@@ -77,6 +78,7 @@
     --this->in_flight;
     this->contradictions = 0;
     ++this->failures_in_row;
+    this->last_failure = now;
     this->failure_share += (1 - this->failure_share) * failure_weight;
     if (result.outcome == try_outcome::connect_failed) {
         ++this->connect_failures_in_row;
@@ -117,6 +119,11 @@
            this->connect_failures_in_row >= bad_connect_failures_in_row;
 }
 
+bool target_row::failing(time_point now) const
+{
+    return this->looks_bad() && now - this->last_failure < failure_memory;
+}
+
 bool target_row::is_known(time_point now) const
 {
     return this->word.known && now - this->word.at <= report_limit;
@@ -198,7 +205,8 @@
         return;
     }
     const auto ramped = static_cast<std::uint32_t>(std::floor(this->ramp));
-    this->limit = std::min({this->slots, this->connections, ramped, this->limit_by_word(now)});
+    const std::uint32_t free = this->slots - std::min(this->slots, this->reserved);
+    this->limit = std::min({free, this->connections, ramped, this->limit_by_word(now)});
 }
 
 } // namespace bth::steering::internal
--- a/bth/steering/internal/target_row.h
+++ b/bth/steering/internal/target_row.h
@@ -41,6 +41,9 @@
 
     // Whether the target has failed so often that it should be ejected.
     bool looks_bad() const;
+    // Whether the target looks bad now: a failure of long ago doesn't count, so that work comes
+    // back.
+    bool failing(time_point now) const;
     // Whether the report is recent enough to be believed at all.
     bool is_known(time_point now) const;
     // The time that a try is expected to take; old slow answers are slowly forgotten, so that a
@@ -64,6 +67,8 @@
     // Tries that run by right of an earlier configuration with more slots.
     std::uint32_t grandfathered{};
     bool closed{};
+    // Slots that a former owner's tries still use.
+    std::uint32_t reserved{};
 
     target_standing standing{target_standing::in_service};
     time_point ejected_until;
@@ -77,6 +82,7 @@
     std::uint32_t failures_in_row{};
     // Share of tries that failed, exponentially weighted.
     double failure_share{};
+    time_point last_failure;
     std::uint32_t connect_failures_in_row{};
 
     target_word word;
--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -39,6 +39,7 @@
     }
     this->retries.apply(*this->model, change);
     this->audit.apply(this->model->services.size(), change);
+    this->needs.apply(*this->model, change);
     for (const waiting_request& gone : this->queues.apply(*this->model, change)) {
         this->give_up(*this->requests.find(gone.id), {refusal_reason::unknown_service}, out);
     }
@@ -48,11 +49,29 @@
 void node::state::tick(time_point now, actions& out)
 {
     this->targets.tick(now);
+    this->refresh_needs(now);
     for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
         this->serve_queue(service_id::from_index(index), now, out);
     }
 }
 
+bool node::state::owns(service_id service, time_point now) const
+{
+    (void)service;
+    (void)now;
+    return true;
+}
+
+void node::state::refresh_needs(time_point now)
+{
+    for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
+        const auto service = service_id::from_index(index);
+        if (this->owns(service, now)) {
+            this->needs.set_able(service, this->targets.can_serve(service, now));
+        }
+    }
+}
+
 actions node::apply(std::shared_ptr<const config::model> next, revision number, clock_reading now)
 {
     actions out;
--- a/bth/steering/node_check.cpp
+++ b/bth/steering/node_check.cpp
@@ -82,7 +82,8 @@
 {
     const auto id = this->queues.next(service);
     const request_row* row = id ? this->requests.find(*id) : nullptr;
-    return row != nullptr && this->targets.choose(this->query_for(*row), this->latest);
+    return row != nullptr && !this->needs.missing(service) &&
+           this->targets.choose(this->query_for(*row), this->latest);
 }
 
 } // namespace bth::steering
--- a/bth/steering/placement.cpp
+++ b/bth/steering/placement.cpp
@@ -19,6 +19,9 @@
 void node::state::place(request_row& row, time_point now, actions& out)
 {
     const service_id service = row.request.service;
+    if (this->leave_for_dependency(row, now, out)) {
+        return;
+    }
     if (this->audit.outranked(service, row.level, now)) {
         if (!this->place_at_fallback(row, any_detour, now, out)) {
             this->refuse_for_lack(row, refusal_reason::priority, now, out);
@@ -40,6 +43,17 @@
     this->place_in_queue(row, now, out);
 }
 
+bool node::state::leave_for_dependency(request_row& row, time_point now, actions& out)
+{
+    if (!this->needs.missing(row.request.service)) {
+        return false;
+    }
+    if (!this->place_at_fallback(row, any_detour, now, out)) {
+        this->refuse_for_lack(row, refusal_reason::dependency, now, out);
+    }
+    return true;
+}
+
 target_query node::state::query_for(const request_row& row) const
 {
     const auto capacity = this->capacity_of(row);
@@ -153,6 +167,11 @@
     }
     while (const auto id = this->queues.next(service)) {
         request_row& row = *this->requests.find(*id);
+        if (this->needs.missing(service)) {
+            this->queues.remove(waiting_of(row));
+            this->leave_for_dependency(row, now, out);
+            continue;
+        }
         if (!this->place_at_target(row, now, out)) {
             return;
         }
--- a/bth/steering/target_table.cpp
+++ b/bth/steering/target_table.cpp
@@ -170,6 +170,14 @@
     this->refresh(*row, now);
 }
 
+void target_table::set_reserved(target_id target, std::uint32_t count, time_point now)
+{
+    if (target_row* row = this->find(target)) {
+        row->reserved = count;
+        this->refresh(*row, now);
+    }
+}
+
 void target_table::tick(time_point now)
 {
     for (target_row& row : this->rows) {
@@ -210,6 +218,15 @@
     return sum;
 }
 
+bool target_table::can_serve(service_id service, time_point now) const
+{
+    const auto& group = this->by_service.at(service.index()).rows;
+    return std::any_of(group.begin(), group.end(), [&](std::size_t index) {
+        const target_row& row = this->rows.at(index);
+        return row.limit > 0 && !row.failing(now);
+    });
+}
+
 std::uint32_t target_table::in_flight(target_id target) const
 {
     const target_row* row = this->find(target);
--- a/bth/steering/target_table.h
+++ b/bth/steering/target_table.h
@@ -60,13 +60,15 @@
     void report(const load_report& report, time_point now);
     // Closes a target to new work, or opens it again. An opened one starts cold.
     void set_closed(target_id target, bool closed, time_point now);
+    // Tries at `target` that requests of its former owner still run; they take slots here.
+    void set_reserved(target_id target, std::uint32_t count, time_point now);
     // Refreshes what every target may carry.
     void tick(time_point now);
 
     // The slots of a service that may be used now, and the mean time that a try holds one.
     service_capacity capacity(service_id service) const;
-    // Whether any target of the service may take work.
-    bool can_serve(service_id service) const { return this->capacity(service).slots > 0; }
+    // Whether any target of the service may take work and hasn't failed all of its latest tries.
+    bool can_serve(service_id service, time_point now) const;
 
     bool has(target_id target) const { return this->find(target) != nullptr; }
     std::uint32_t in_flight(target_id target) const;
