--- a/bth/base/reason.h
+++ b/bth/base/reason.h
@@ -29,7 +29,7 @@
     retry_budget,         // The try failed and the retry budget is spent.
     target_failed,        // The target failed and the request may not be repeated.
     peer_failed,          // The entry host that the request was handed to failed.
-    already_run,          // A resend of a non-repeatable request whose answer is gone.
+    already_run,          // A resend whose first run goes on, or whose outcome is gone.
     drained,              // The failure domain or region is leaving.
     ownership,            // The targets are changing hands between entry hosts.
 };
