Make operators' differences from the delta of two tables

The rows that an operator sees and the delta that hosts exchange compared texts twice, with other names for the same rows. difference_of now goes by text_table and delta, so that a link is "x>y" in both; only the values before and after are looked up for people.

--- a/bth/config/difference.cpp
+++ b/bth/config/difference.cpp
@@ -1,75 +1,94 @@
 #include "bth/config/difference.h"
 
-#include "bth/config/json_reader.h"
+#include "bth/config/delta.h"
+#include "bth/config/text_table.h"
 
+#include <algorithm>
 #include <array>
-#include <map>
 #include <utility>
 
-#include <json/writer.h>
-
 namespace bth::config {
 
 namespace {
 
-struct row_key {
-    std::string section;
-    std::string name;
-    friend auto operator<=>(const row_key&, const row_key&) = default;
-};
+constexpr const char* block_section = "client_blocks";
 
-using row_table = std::map<row_key, Json::Value>;
+text_table table_of(const std::string& text)
+{
+    auto table = text_table::from_text("text", text);
+    return table ? std::move(*table) : text_table{};
+}
 
-std::string compact(const Json::Value& value)
+// The value of the entry; empty if the table has none of that key.
+std::string value_of(const text_table& table, const entry_key& key)
 {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    builder["emitUTF8"] = true;
-    return Json::writeString(builder, value);
+    const auto& entries = table.entries();
+    const auto place =
+        std::lower_bound(entries.begin(), entries.end(), key,
+                         [](const entry& a, const entry_key& b) { return a.key < b; });
+    return place != entries.end() && place->key == key ? place->value : std::string{};
 }
 
-std::string string_at(const Json::Value& row, const char* key)
+// The failure domain of the block; empty if the table has no such block.
+std::string domain_of(const text_table& table, const ipv4_block& block)
 {
-    return row.isMember(key) && row[key].isString() ? row[key].asString() : std::string{};
+    const auto& blocks = table.blocks();
+    const auto place =
+        std::lower_bound(blocks.begin(), blocks.end(), block,
+                         [](const block_row& a, const ipv4_block& b) { return a.block() < b; });
+    return place != blocks.end() && place->block() == block ? table.domain_names().at(place->domain)
+                                                            : std::string{};
 }
 
-void add_section(const std::string& section, const Json::Value& rows, row_table& out)
+row_change kind_of(const std::string& before, const std::string& after)
 {
-    if (!rows.isArray()) {
-        out.emplace(row_key{section, ""}, rows);
-        return;
+    if (before.empty()) {
+        return row_change::added;
     }
-    for (Json::ArrayIndex index = 0; index < rows.size(); ++index) {
-        std::string name = row_name(rows[index]);
-        if (name.empty() || out.contains(row_key{section, name})) {
-            name += "#" + std::to_string(index);
+    return after.empty() ? row_change::removed : row_change::changed;
+}
+
+// Collects rows up to a limit and counts the others.
+class row_list {
+public:
+    explicit row_list(std::size_t most_rows) : most_rows{most_rows} {}
+
+    void add(std::string section, std::string name, std::string before, std::string after)
+    {
+        if (this->out.rows.size() == this->most_rows) {
+            ++this->out.omitted;
+            return;
         }
-        out.emplace(row_key{section, std::move(name)}, rows[index]);
+        const row_change change = kind_of(before, after);
+        this->out.rows.push_back(
+            {change, std::move(section), std::move(name), std::move(before), std::move(after)});
     }
-}
 
-row_table rows_of(const std::string& text)
+    text_difference take() { return std::move(this->out); }
+
+private:
+    std::size_t most_rows;
+    text_difference out;
+};
+
+std::vector<entry_key> changed_keys(const delta& change)
 {
-    row_table out;
-    findings ignored;
-    const auto document = json_document::parse("", text, ignored);
-    if (!document || !document->root().isObject()) {
-        return out;
+    std::vector<entry_key> keys = change.removed;
+    for (const entry& each : change.set) {
+        keys.push_back(each.key);
     }
-    for (const std::string& section : document->root().getMemberNames()) {
-        add_section(section, document->root()[section], out);
-    }
-    return out;
+    std::sort(keys.begin(), keys.end());
+    return keys;
 }
 
-void add_row(text_difference& out, std::size_t most_rows, row_difference row)
+std::vector<ipv4_block> changed_blocks(const delta& change)
 {
-    if (out.rows.size() < most_rows) {
-        out.rows.push_back(std::move(row));
-    }
-    else {
-        ++out.omitted;
+    std::vector<ipv4_block> blocks = change.blocks_removed;
+    for (const block_row& each : change.blocks_set) {
+        blocks.push_back(each.block());
     }
+    std::sort(blocks.begin(), blocks.end());
+    return blocks;
 }
 
 } // namespace
@@ -80,62 +99,21 @@
     return names.at(static_cast<std::size_t>(change));
 }
 
-std::string row_name(const Json::Value& row)
-{
-    constexpr std::array<const char*, 4> drain_kinds{"target", "host", "failure_domain", "region"};
-    if (!row.isObject()) {
-        return {};
-    }
-    for (const char* key : {"name", "block"}) {
-        if (auto name = string_at(row, key); !name.empty()) {
-            return name;
-        }
-    }
-    if (row.isMember("from") && row.isMember("to")) {
-        return string_at(row, "from") + ">" + string_at(row, "to");
-    }
-    for (const char* kind : drain_kinds) {
-        if (row.isMember(kind)) {
-            return std::string{kind} + ":" + string_at(row, kind);
-        }
-    }
-    return {};
-}
-
 text_difference difference_of(const std::string& before, const std::string& after,
                               std::size_t most_rows)
 {
-    const row_table old_rows = rows_of(before);
-    const row_table new_rows = rows_of(after);
-    text_difference out;
-    auto was = old_rows.begin();
-    auto is = new_rows.begin();
-    while (was != old_rows.end() || is != new_rows.end()) {
-        const bool removed =
-            is == new_rows.end() || (was != old_rows.end() && was->first < is->first);
-        const bool added = !removed && (was == old_rows.end() || is->first < was->first);
-        const row_key& key = removed ? was->first : is->first;
-        if (removed) {
-            add_row(out, most_rows,
-                    {row_change::removed, key.section, key.name, compact(was->second), ""});
-        }
-        else if (added) {
-            add_row(out, most_rows,
-                    {row_change::added, key.section, key.name, "", compact(is->second)});
-        }
-        else if (was->second != is->second) {
-            add_row(out, most_rows,
-                    {row_change::changed, key.section, key.name, compact(was->second),
-                     compact(is->second)});
-        }
-        if (!added) {
-            ++was;
-        }
-        if (!removed) {
-            ++is;
-        }
+    const text_table older = table_of(before);
+    const text_table newer = table_of(after);
+    const delta change = difference(older, newer);
+    row_list rows{most_rows};
+    for (const entry_key& key : changed_keys(change)) {
+        rows.add(std::string{to_string(key.part)}, key.name, value_of(older, key),
+                 value_of(newer, key));
+    }
+    for (const ipv4_block& block : changed_blocks(change)) {
+        rows.add(block_section, to_string(block), domain_of(older, block), domain_of(newer, block));
     }
-    return out;
+    return rows.take();
 }
 
 } // namespace bth::config
