--- a/bth/control/edit_codec.cpp
+++ b/bth/control/edit_codec.cpp
@@ -1,7 +1,7 @@
 #include "bth/control/edit_codec.h"
 
 #include "bth/control/edit_book.h"
-#include "bth/control/edits_generated.h"
+#include "bth/control/internal/edits_generated.h"
 
 #include <algorithm>
 #include <utility>
--- a/bth/ctl/main.cpp
+++ b/bth/ctl/main.cpp
@@ -84,7 +84,7 @@
         ->check(check_endpoint)
         ->envname("BTH_CONTROL")
         ->delimiter(',');
-    command.add_option("--timeout-ms", given.timeout_ms, "Time for the whole command");
+    command.add_option("--timeout-ms", given.timeout_ms, "Time for each step of the command");
     command.add_flag("--json", given.json, "Print JSON");
 }
 
