Let only owners admit, and spill only under a live grant

Cause: a node filled the slots of its domain without knowing of other hosts, and forwarded to any host of a fallback domain in the hope of room there. Change: granting.cpp joins ownership, ledger and book into the node. A host that doesn't own a service's targets forwards to the owner; the owner admits own callers beside what it has granted and others only under their grants; it asks fallback domains by the measured demand; ownership changes hands with the outstanding grants and the slots still in use, and what waits goes along. A request that every target has failed gets its final answer at once instead of waiting for none. The tests of flow that used requests from another domain only to keep them from a fallback now use own requests without a held grant; one test of forwarding is replaced by four. Seen failing: with the ledger's check of a forwarded request switched off, a_request_from_another_domain_without_a_grant_is_refused_as_not_run fails; with both checks of ownership off (on arrival and before a start), a_host_that_does_not_own_the_targets_admits_nothing fails; either check alone keeps it green.

--- a/bth/steering/completion.cpp
+++ b/bth/steering/completion.cpp
@@ -147,6 +147,12 @@
 void node::state::release(request_row& row, time_point now)
 {
     (void)now;
+    if (row.held.domain_part) {
+        this->ledger.finish(row.request.service, row.held.holder);
+    }
+    if (row.peer && !row.orphaned && this->model->at(*row.peer).domain != this->domain()) {
+        this->book.finish(row.request.service, *row.peer);
+    }
     row.held = {};
     row.target.reset();
     row.peer.reset();
--- a/bth/steering/flow.cpp
+++ b/bth/steering/flow.cpp
@@ -27,6 +27,9 @@
     if (this->forward_to_owner(row, now, out)) {
         return;
     }
+    if (!this->is_foreign(request)) {
+        this->offered.count(request.service, level);
+    }
     if (const auto why = this->check_origin(row, now)) {
         this->give_up(row, *why, out);
         return;
@@ -73,31 +76,6 @@
     return true;
 }
 
-// The host of this domain that owns the service's targets, if that is another one.
-std::optional<host_id> node::state::owner_elsewhere(const arrival& request, time_point now) const
-{
-    (void)request;
-    (void)now;
-    return std::nullopt;
-}
-
-// A request from another failure domain draws on a grant; a caller from elsewhere counts against
-// the shift cap.
-std::optional<refusal> node::state::check_origin(request_row& row, time_point now)
-{
-    (void)row;
-    (void)now;
-    return std::nullopt;
-}
-
-// Takes a place in the service's part of this domain's capacity.
-std::optional<refusal> node::state::check_domain_part(request_row& row, time_point now)
-{
-    (void)now;
-    row.held.domain_part = true;
-    return std::nullopt;
-}
-
 bool node::state::is_foreign(const arrival& request) const
 {
     return request.forwarded_by && this->model->at(*request.forwarded_by).domain != this->domain();
--- a/bth/steering/grant_ledger.cpp
+++ b/bth/steering/grant_ledger.cpp
@@ -214,7 +214,7 @@
 {
     service_row& row = this->services.at(service.index());
     const claim fair = this->fair_claim(row, holder, about, now);
-    std::uint32_t others = row.own_in_flight;
+    std::uint32_t others = row.own_in_flight + row.handed_in_flight;
     request_rate other_rates;
     for (const auto& [host, each] : row.holders) {
         if (host != holder) {
@@ -305,7 +305,8 @@
 
 bool grant_ledger::has_room(const service_row& row, time_point now) const
 {
-    return row.own_in_flight + granted_in_flight(row, now) < row.cap.in_flight;
+    const std::uint32_t own = row.own_in_flight + row.handed_in_flight;
+    return own + granted_in_flight(row, now) < row.cap.in_flight;
 }
 
 bool grant_ledger::may_start(service_id service, std::optional<host_id> holder,
@@ -405,10 +406,14 @@
     this->set_own_rate(row, now);
 }
 
+void grant_ledger::set_handed(service_id service, std::uint32_t count)
+{
+    this->services.at(service.index()).handed_in_flight = count;
+}
+
 void grant_ledger::release(service_id service)
 {
     for (auto& [host, holder] : this->services.at(service.index()).holders) {
-        holder.promises.clear();
         holder.demand.clear();
     }
 }
@@ -423,7 +428,7 @@
         each.service = service;
         each.cap = row.cap;
         each.own_rate = row.own_rate;
-        each.own_in_flight = row.own_in_flight;
+        each.own_in_flight = row.own_in_flight + row.handed_in_flight;
         each.granted_rate = granted_rate(row, now);
         each.granted_in_flight = granted_in_flight(row, now);
         for (std::size_t at = 0; at < this->model->regions.size(); ++at) {
--- a/bth/steering/grant_ledger.h
+++ b/bth/steering/grant_ledger.h
@@ -94,10 +94,14 @@
     // The outstanding grants of a service, for the host that takes it over, and their acceptance.
     std::vector<handed_grant> outstanding(service_id service, time_point now) const;
     void take_over(service_id service, const std::vector<handed_grant>& grants, time_point now);
-    // Forgets what was asked and granted for a service that another host owns now. Tries in flight
-    // stay counted.
+    // Tries that the former owner still runs; they count as own load.
+    void set_handed(service_id service, std::uint32_t count);
+    // Forgets what was asked for a service that another host owns now. What was granted runs out,
+    // and tries in flight stay counted.
     void release(service_id service);
 
+    // The part of the domain's cap that belongs to the service.
+    room part(service_id service) const { return this->parts.part(service); }
     std::vector<ledger_use> use(time_point now) const;
 
 private:
@@ -119,6 +123,7 @@
         room cap;
         std::map<host_id, holder_row> holders;
         std::uint32_t own_in_flight{};
+        std::uint32_t handed_in_flight{};
         token_bucket own;
         // Bounds all starts together, so that bursts of several buckets don't add up.
         token_bucket all;
--- a/bth/steering/internal/node_state.h
+++ b/bth/steering/internal/node_state.h
@@ -4,12 +4,17 @@
 #pragma once
 
 #include "bth/steering/admission.h"
+#include "bth/steering/demand.h"
+#include "bth/steering/grant_book.h"
+#include "bth/steering/grant_ledger.h"
 #include "bth/steering/node.h"
+#include "bth/steering/ownership.h"
 #include "bth/steering/priority_audit.h"
 #include "bth/steering/request_table.h"
 #include "bth/steering/retry_budget.h"
 #include "bth/steering/target_table.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -24,8 +29,24 @@
     duration retry_after{usual_retry_after};
 };
 
+// A service that this host has handed over, and what of it the new owner was told last.
+struct handed_service {
+    service_id service;
+    host_id to;
+    std::vector<busy_slots> told;
+};
+
+// The former owner of a service and its latest handover.
+struct former_owner {
+    host_id host;
+    incarnation life;
+    std::uint64_t sequence{};
+};
+
 struct node::state {
-    explicit state(node_settings given) : settings{std::move(given)} {}
+    explicit state(node_settings given)
+        : settings{std::move(given)}, owners{this->settings.life}, book{this->settings.life}
+    {}
 
     // Events about requests.
     void arrive(const arrival& request, time_point now, actions& out);
@@ -82,6 +103,26 @@
                actions& out);
     void tick(time_point now, actions& out);
 
+    // Ownership of targets and grants between failure domains. (granting.cpp)
+    void apply_grants(const model_map* change, time_point now, actions& out);
+    void tick_grants(time_point now, actions& out);
+    void receive_grants(host_id from, const peer_message& message, time_point now, actions& out);
+    // Whether this host decides for callers of the service here: it owns the service's targets, or
+    // the domain has none.
+    bool decides_for(service_id service, time_point now) const;
+    // The host of another domain under whose grant the request came, or nothing.
+    std::optional<host_id> holder_of(const request_row& row) const;
+    granting_state granting_of(service_id service, time_point now) const;
+    std::vector<service_demand> demands_elsewhere(time_point now) const;
+    void hand_over_due(time_point now, actions& out);
+    void send_handovers(time_point now, actions& out);
+    std::vector<busy_slots> busy_of(service_id service) const;
+    void take_over(host_id from, const handover& message, time_point now, actions& out);
+    void set_busy(service_id service, const std::vector<busy_slots>& busy);
+    void drop_busy_of(host_id gone);
+    void leave_queue(service_id service, time_point now, actions& out);
+    void check_grants(violations& found) const;
+
     // What must hold. (node_check.cpp)
     void check(violations& found) const;
     void check_slots(const std::vector<std::uint64_t>& tries, violations& found) const;
@@ -101,6 +142,15 @@
     admission queues;
     retry_budget retries;
     priority_audit audit;
+    demand_meter offered;
+    ownership owners;
+    grant_ledger ledger;
+    grant_book book;
+    // Services handed over whose tries here still use slots.
+    std::vector<handed_service> handed;
+    std::uint64_t handover_sequence{};
+    // Who owned a service before, for its later words about slots in use.
+    std::map<service_id, former_owner> former;
     // The time of the last event.
     time_point latest;
     bool stopping{};
--- a/bth/steering/internal/target_row.h
+++ b/bth/steering/internal/target_row.h
@@ -49,7 +49,7 @@
     // What a further try is expected to cost: time, crowding and the chance that it fails. The
     // target with the least score is the best one.
     duration score(time_point now) const;
-    bool has_room() const { return this->in_flight < this->limit; }
+    bool has_room() const { return this->in_flight + this->handed < this->limit; }
 
     target_id id;
     service_id service;
@@ -59,6 +59,8 @@
     duration usual_time{};
 
     std::uint32_t in_flight{};
+    // Tries of the former owner that still run.
+    std::uint32_t handed{};
     // The most tries that may run now.
     std::uint32_t limit{};
     // Tries that run by right of an earlier configuration with more slots.
--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -37,6 +37,7 @@
             this->targets.adopt(*row.target, now);
         }
     }
+    this->apply_grants(change, now, out);
     this->retries.apply(*this->model, change);
     this->audit.apply(this->model->services.size(), change);
     for (const waiting_request& gone : this->queues.apply(*this->model, change)) {
@@ -48,6 +49,7 @@
 void node::state::tick(time_point now, actions& out)
 {
     this->targets.tick(now);
+    this->tick_grants(now, out);
     for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
         this->serve_queue(service_id::from_index(index), now, out);
     }
@@ -81,10 +83,10 @@
 
 actions node::receive(host_id from, const peer_message& message, time_point now)
 {
-    (void)from;
-    (void)message;
-    (void)now;
-    return {};
+    actions out;
+    this->self->latest = now;
+    this->self->receive_grants(from, message, now, out);
+    return out;
 }
 
 actions node::peer_lost(host_id peer, time_point now)
@@ -92,6 +94,8 @@
     actions out;
     this->self->latest = now;
     this->self->cancel_forwarded_by(peer, now, out);
+    this->self->book.peer_lost(peer);
+    this->self->drop_busy_of(peer);
     return out;
 }
 
@@ -115,6 +119,7 @@
 {
     this->self->stopping = true;
     this->self->stop_began = now;
+    this->self->owners.set_leaving(true);
     return {};
 }
 
@@ -158,6 +163,21 @@
     return this->self->requests.size();
 }
 
+grant_view node::grants(time_point now) const
+{
+    grant_view view;
+    if (!this->self->ready()) {
+        return view;
+    }
+    for (ledger_use& each : this->self->ledger.use(now)) {
+        if (this->self->owners.owns(each.service, now)) {
+            view.granted.push_back(std::move(each));
+        }
+    }
+    view.held = this->self->book.held(now);
+    return view;
+}
+
 violations node::check_invariants() const
 {
     violations found;
--- a/bth/steering/node.h
+++ b/bth/steering/node.h
@@ -14,6 +14,8 @@
 #include "bth/base/time.h"
 #include "bth/config/model.h"
 #include "bth/steering/events.h"
+#include "bth/steering/grant_book.h"
+#include "bth/steering/grant_ledger.h"
 #include "bth/steering/invariants.h"
 #include "bth/steering/messages.h"
 
@@ -29,6 +31,12 @@
     std::uint64_t seed{};
 };
 
+// Both sides of the capacity grants of one host.
+struct grant_view {
+    std::vector<ledger_use> granted;
+    std::vector<held_grant> held;
+};
+
 class node {
 public:
     explicit node(node_settings settings);
@@ -65,6 +73,9 @@
 
     // What must hold and doesn't, as of the last event. Empty in every run that is right.
     violations check_invariants() const;
+    // What this host has granted of the services that it owns at `now`, and what it holds of
+    // others. Over all hosts together, own load and grants held never exceed the caps.
+    grant_view grants(time_point now) const;
 
 private:
     struct state;
--- a/bth/steering/node_check.cpp
+++ b/bth/steering/node_check.cpp
@@ -37,6 +37,7 @@
     this->targets.check(found);
     this->retries.check(found);
     this->audit.check(found);
+    this->check_grants(found);
     const row_counts counts = count_rows(this->requests, *this->model);
     this->check_slots(counts.at_target, found);
     this->check_queues(counts.waiting, found);
@@ -82,7 +83,9 @@
 {
     const auto id = this->queues.next(service);
     const request_row* row = id ? this->requests.find(*id) : nullptr;
-    return row != nullptr && this->targets.choose(this->query_for(*row), this->latest);
+    return row != nullptr && this->owners.owns(service, this->latest) &&
+           this->ledger.may_start(service, this->holder_of(*row), this->latest) &&
+           this->targets.choose(this->query_for(*row), this->latest);
 }
 
 } // namespace bth::steering
--- a/bth/steering/placement.cpp
+++ b/bth/steering/placement.cpp
@@ -37,6 +37,11 @@
     if (this->place_at_fallback(row, wait, now, out)) {
         return;
     }
+    if (row.retried() && !this->targets.can_serve(service, row.tried_targets)) {
+        // Every target that could serve it has failed it: waiting would change nothing.
+        this->give_up(row, {refusal_reason::target_failed}, out);
+        return;
+    }
     this->place_in_queue(row, now, out);
 }
 
@@ -89,19 +94,10 @@
 std::optional<host_id> node::state::choose_fallback(const request_row& row, duration detour,
                                                     time_point now)
 {
-    (void)now;
-    for (const domain_id domain : this->model->at(this->domain()).fallbacks) {
-        if (this->detour_to(domain) > detour) {
-            continue;
-        }
-        for (std::size_t index = 0; index < this->model->hosts.size(); ++index) {
-            const auto peer = host_id::from_index(index);
-            if (this->model->at(peer).domain == domain && !row.has_tried(peer)) {
-                return peer;
-            }
-        }
-    }
-    return std::nullopt;
+    const auto usable = [&](domain_id domain, host_id host) {
+        return this->detour_to(domain) <= detour && !row.has_tried(host);
+    };
+    return this->book.draw(row.request.service, usable, now);
 }
 
 void node::state::forward(request_row& row, host_id peer, time_point now, actions& out)
--- a/bth/steering/request_table.cpp
+++ b/bth/steering/request_table.cpp
@@ -36,6 +36,15 @@
     remap_optional(row.request.forwarded_by, change);
 }
 
+// The ledger forgets what belongs to services and hosts that are gone.
+void remap_held(request_row& row, const model_map& change)
+{
+    const bool had_holder = row.held.holder.has_value();
+    remap_optional(row.held.holder, change);
+    const bool gone = row.orphaned || (had_holder && !row.held.holder);
+    row.held.domain_part = row.held.domain_part && !gone;
+}
+
 } // namespace
 
 request_row& request_table::add(const arrival& request, priority_level level)
@@ -73,6 +82,7 @@
         remap_arrival(row, *change);
         remap_optional(row.target, *change);
         remap_optional(row.peer, *change);
+        remap_held(row, *change);
         remap_list(row.tried_targets, *change);
         remap_list(row.tried_peers, *change);
     }
--- a/bth/steering/request_table.h
+++ b/bth/steering/request_table.h
@@ -31,6 +31,8 @@
 struct held_resources {
     // A place in the part of the failure domain's capacity that belongs to the service.
     bool domain_part{};
+    // The host under whose grant it was taken; none for an own caller.
+    std::optional<host_id> holder;
 };
 
 struct request_row {
--- a/bth/steering/target_table.cpp
+++ b/bth/steering/target_table.cpp
@@ -149,6 +149,13 @@
     return (static_cast<std::size_t>(out) + 1) * 2 <= group.rows.size();
 }
 
+void target_table::set_handed(target_id target, std::uint32_t count)
+{
+    if (target_row* row = this->find(target)) {
+        row->handed = count;
+    }
+}
+
 void target_table::report(const load_report& report, time_point now)
 {
     if (target_row* row = this->find(report.target)) {
@@ -210,6 +217,15 @@
     return sum;
 }
 
+bool target_table::can_serve(service_id service, const std::vector<target_id>& avoid) const
+{
+    const auto& group = this->by_service.at(service.index()).rows;
+    return std::any_of(group.begin(), group.end(), [&](std::size_t index) {
+        const target_row& row = this->rows.at(index);
+        return row.limit > 0 && !contains(&avoid, row.id);
+    });
+}
+
 std::uint32_t target_table::in_flight(target_id target) const
 {
     const target_row* row = this->find(target);
--- a/bth/steering/target_table.h
+++ b/bth/steering/target_table.h
@@ -57,6 +57,8 @@
     void begin(target_id target, time_point now);
     void end(target_id target, const try_result& result, duration took, time_point now);
 
+    // The tries that the former owner of the target still runs there.
+    void set_handed(target_id target, std::uint32_t count);
     void report(const load_report& report, time_point now);
     // Closes a target to new work, or opens it again. An opened one starts cold.
     void set_closed(target_id target, bool closed, time_point now);
@@ -68,6 +70,8 @@
     // Whether any target of the service may take work.
     bool can_serve(service_id service) const { return this->capacity(service).slots > 0; }
 
+    // Whether any target that isn't in `avoid` may take work, now or once a slot is free.
+    bool can_serve(service_id service, const std::vector<target_id>& avoid) const;
     bool has(target_id target) const { return this->find(target) != nullptr; }
     std::uint32_t in_flight(target_id target) const;
     // The tries that `target` may carry now.
--- a/bth/steering/testing/traffic.h
+++ b/bth/steering/testing/traffic.h
@@ -60,6 +60,23 @@
     }
 }
 
+// Lets a node tick until it owns the targets of its domain, whose other hosts stay silent.
+inline void settle(node& core, time_point& now)
+{
+    const time_point end = now + std::chrono::seconds{4};
+    for (; now < end; now += tick_interval) {
+        core.tick({now, {}});
+    }
+}
+
+// Makes the node grant some room of "web" to `holder`, a host of domain "b".
+inline void grant_room(node& core, host_id holder, std::uint64_t sequence, time_point now)
+{
+    constexpr domain_id domain_b{1};
+    const grant_demand demand{priority_level{0}, request_rate{100.0}, 3};
+    core.receive(holder, grant_request{domain_b, incarnation{1}, sequence, {{web, {demand}}}}, now);
+}
+
 // Serves requests until every target of "web" in domain "a" has left its cold start.
 inline void warm_up(node& core, const config::model& model, time_point& now)
 {
@@ -81,4 +98,13 @@
     report_idle(core, model, now);
 }
 
+// Lets the demand of earlier requests be forgotten while the targets go on reporting.
+inline void cool_down(node& core, const config::model& model, time_point& now)
+{
+    const time_point end = now + std::chrono::seconds{10};
+    for (; now < end; now += tick_interval) {
+        report_idle(core, model, now);
+    }
+}
+
 } // namespace bth::steering::testing
