--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -37,6 +37,7 @@
             this->targets.adopt(*row.target, now);
         }
     }
+    this->apply_grants(change, now, out);
     this->retries.apply(*this->model, change);
     this->audit.apply(this->model->services.size(), change);
     this->needs.apply(*this->model, change);
@@ -49,6 +50,7 @@
 void node::state::tick(time_point now, actions& out)
 {
     this->targets.tick(now);
+    this->tick_grants(now, out);
     this->refresh_needs(now);
     for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
         this->serve_queue(service_id::from_index(index), now, out);
@@ -57,9 +59,7 @@
 
 bool node::state::owns(service_id service, time_point now) const
 {
-    (void)service;
-    (void)now;
-    return true;
+    return this->owners.owns(service, now);
 }
 
 void node::state::refresh_needs(time_point now)
@@ -100,10 +100,10 @@
 
 actions node::receive(host_id from, const peer_message& message, time_point now)
 {
-    (void)from;
-    (void)message;
-    (void)now;
-    return {};
+    actions out;
+    this->self->latest = now;
+    this->self->receive_grants(from, message, now, out);
+    return out;
 }
 
 actions node::peer_lost(host_id peer, time_point now)
@@ -111,6 +111,8 @@
     actions out;
     this->self->latest = now;
     this->self->cancel_forwarded_by(peer, now, out);
+    this->self->book.peer_lost(peer);
+    this->self->drop_busy_of(peer);
     return out;
 }
 
@@ -134,6 +136,7 @@
 {
     this->self->stopping = true;
     this->self->stop_began = now;
+    this->self->owners.set_leaving(true);
     return {};
 }
 
@@ -177,6 +180,21 @@
     return this->self->requests.size();
 }
 
+grant_view node::grants(time_point now) const
+{
+    grant_view view;
+    if (!this->self->ready()) {
+        return view;
+    }
+    for (ledger_use& each : this->self->ledger.use(now)) {
+        if (this->self->owners.owns(each.service, now)) {
+            view.granted.push_back(std::move(each));
+        }
+    }
+    view.held = this->self->book.held(now);
+    return view;
+}
+
 violations node::check_invariants() const
 {
     violations found;
