--- a/bth/config/delta_test.cpp
+++ b/bth/config/delta_test.cpp
@@ -84,8 +84,9 @@
 TEST(delta, removed_rows_go)
 {
     edited_text edit;
-    delta back = difference(edit.newer, edit.older);
-    back.to = revision{3};
+    text_table restored = edit.older;
+    restored.set_revision(revision{3});
+    const delta back = difference(edit.newer, restored);
     UNSIGNED_LONGS_EQUAL(1, back.removed.size());
     CHECK_TRUE(edit.newer.apply(back).has_value());
     CHECK_TRUE(edit.newer.to_text() == edit.older.to_text());
@@ -110,6 +111,14 @@
     CHECK_TRUE(edit.older.at() == revision{1});
 }
 
+TEST(delta, one_that_states_another_revision_is_refused)
+{
+    edited_text edit;
+    delta change = difference(edit.older, edit.newer);
+    change.to = revision{70};
+    CHECK_TRUE(edit.older.apply(change).error() == apply_error::wrong_digest);
+}
+
 TEST(delta, rows_that_stand_twice_count_once)
 {
     edited_text edit;
@@ -134,6 +143,7 @@
         cursor = piece.next;
         ++pieces;
     }
+    built.set_revision(table.at());
     CHECK_TRUE(pieces > 10);
     CHECK_TRUE(built.digest() == table.digest());
     CHECK_TRUE(built.to_text() == table.to_text());
--- a/bth/config/text_table.cpp
+++ b/bth/config/text_table.cpp
@@ -67,6 +67,11 @@
     return XXH3_64bits_withSeed(bytes.data(), bytes.size(), section_count);
 }
 
+table_digest digest_of(std::uint64_t sum, revision at)
+{
+    return table_digest{XXH3_64bits_withSeed(&sum, sizeof sum, at.value())};
+}
+
 bool key_less(const entry& a, const entry& b)
 {
     return a.key < b.key;
@@ -185,6 +190,11 @@
     return table;
 }
 
+table_digest text_table::digest() const
+{
+    return digest_of(this->sum, this->at_revision);
+}
+
 const entry* text_table::find(const entry_key& key) const
 {
     const auto place =
@@ -245,7 +255,7 @@
         return tl::unexpected{apply_error::not_next};
     }
     const delta unique = unique_rows(change);
-    if (this->sum_after(unique) != change.digest.value()) {
+    if (digest_of(this->sum_after(unique), change.to) != change.digest) {
         return tl::unexpected{apply_error::wrong_digest};
     }
     this->merge_unique(unique);
--- a/bth/config/text_table.h
+++ b/bth/config/text_table.h
@@ -64,7 +64,8 @@
 };
 static_assert(sizeof(block_row) == 8);
 
-// The XXH3 sum over all entries and client blocks, independent of their order and of indexes.
+// The XXH3 hash of a table's revision and the sum of the hashes of its entries and client blocks,
+// independent of their order and of indexes.
 using table_digest = strong_id<struct table_digest_tag, std::uint64_t>;
 
 struct delta;
@@ -82,7 +83,7 @@
     static tl::expected<text_table, findings> from_text(std::string file, std::string text);
 
     revision at() const { return this->at_revision; }
-    table_digest digest() const { return table_digest{this->sum}; }
+    table_digest digest() const;
     const std::vector<entry>& entries() const { return this->rows; }
     const std::vector<std::string>& domain_names() const { return this->domains; }
     const std::vector<block_row>& blocks() const { return this->block_rows; }
