--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -1,166 +1,128 @@
 #include "bth/steering/node.h"
 
-#include <algorithm>
-#include <map>
+#include "bth/steering/internal/node_state.h"
+
+#include <limits>
 #include <utility>
 
 namespace bth::steering {
 
 namespace {
 
-constexpr duration usual_retry_after = std::chrono::seconds{1};
-constexpr std::chrono::seconds lookup_max_age{5};
-
-struct request_row {
-    arrival request;
-    std::optional<target_id> target;
-    std::optional<host_id> peer;
-};
+// Names no failure domain: a host that the configuration doesn't know has no targets.
+constexpr domain_id no_domain{std::numeric_limits<domain_id::rep>::max()};
 
 } // namespace
 
-struct node::state {
-    explicit state(node_settings given) : settings{std::move(given)} {}
-
-    bool ready() const { return this->model != nullptr && this->host.has_value(); }
-    std::optional<target_id> choose_target(const arrival& request) const;
-    std::optional<host_id> choose_peer(const arrival& request) const;
-    actions start(const arrival& request);
-
-    node_settings settings;
-    std::shared_ptr<const config::model> model;
-    revision configuration;
-    std::optional<host_id> host;
-    std::map<request_id, request_row> requests;
-    std::vector<std::uint32_t> target_in_flight;
-    bool stopping{};
-    time_point stop_began;
-};
-
-std::optional<target_id> node::state::choose_target(const arrival& request) const
-{
-    const domain_id own = this->model->at(*this->host).domain;
-    std::optional<target_id> best;
-    for (std::size_t index = 0; index < this->model->targets.size(); ++index) {
-        const config::target& row = this->model->targets.at(index);
-        const std::uint32_t used = this->target_in_flight.at(index);
-        if (row.service != request.service || row.domain != own || used >= row.slots) {
-            continue;
-        }
-        if (!best || used < this->target_in_flight.at(best->index())) {
-            best = target_id::from_index(index);
-        }
-    }
-    return best;
-}
+node::node(node_settings settings) : self{std::make_unique<state>(std::move(settings))} {}
+node::node(node&&) noexcept = default;
+node& node::operator=(node&&) noexcept = default;
+node::~node() = default;
 
-std::optional<host_id> node::state::choose_peer(const arrival& request) const
+void node::state::apply(std::shared_ptr<const config::model> next, revision number, time_point now,
+                        actions& out)
 {
-    if (request.forwarded_by) {
-        return std::nullopt;
+    std::optional<model_map> map;
+    if (this->model != nullptr) {
+        map.emplace(*this->model, *next);
     }
-    const auto& fallbacks = this->model->at(this->model->at(*this->host).domain).fallbacks;
-    for (const domain_id domain : fallbacks) {
-        for (std::size_t index = 0; index < this->model->hosts.size(); ++index) {
-            if (this->model->hosts.at(index).domain == domain) {
-                return host_id::from_index(index);
-            }
+    const model_map* change = map ? &*map : nullptr;
+    this->host = config::find_host(*next, this->settings.host_name);
+    this->model = std::move(next);
+    this->configuration = number;
+    this->requests.remap(change);
+    this->targets.apply(*this->model, this->host ? this->domain() : no_domain, change, now);
+    for (const auto& [id, row] : this->requests.all()) {
+        if (row.target) {
+            this->targets.adopt(*row.target, now);
         }
     }
-    return std::nullopt;
+    this->apply_grants(change, now, out);
+    this->retries.apply(*this->model, change);
+    this->audit.apply(this->model->services.size(), change);
+    this->needs.apply(*this->model, change);
+    for (const waiting_request& gone : this->queues.apply(*this->model, change)) {
+        this->give_up(*this->requests.find(gone.id), {refusal_reason::unknown_service}, out);
+    }
+    this->tick(now, out);
 }
 
-actions node::state::start(const arrival& request)
+void node::state::tick(time_point now, actions& out)
 {
-    if (const auto target = this->choose_target(request)) {
-        this->requests[request.id] = {request, target, std::nullopt};
-        ++this->target_in_flight.at(target->index());
-        return {send_to_target{request.id, *target, request.deadline}};
-    }
-    if (const auto peer = this->choose_peer(request)) {
-        this->requests[request.id] = {request, std::nullopt, peer};
-        return {forward_to_host{request.id, *peer, request.deadline}};
+    this->targets.tick(now);
+    this->tick_grants(now, out);
+    this->refresh_needs(now);
+    for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
+        this->serve_queue(service_id::from_index(index), now, out);
     }
-    return {refuse{request.id, refusal_reason::no_target, run_state::no, usual_retry_after}};
 }
 
-node::node(node_settings settings) : self{std::make_unique<state>(std::move(settings))} {}
-node::node(node&&) noexcept = default;
-node& node::operator=(node&&) noexcept = default;
-node::~node() = default;
+bool node::state::owns(service_id service, time_point now) const
+{
+    return this->owners.owns(service, now);
+}
+
+void node::state::refresh_needs(time_point now)
+{
+    for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
+        const auto service = service_id::from_index(index);
+        if (this->owns(service, now)) {
+            this->needs.set_able(service, this->targets.can_serve(service, now));
+        }
+    }
+}
 
 actions node::apply(std::shared_ptr<const config::model> next, revision number, clock_reading now)
 {
-    (void)now;
-    if (this->self->model != nullptr && number < this->self->configuration) {
-        return {};
+    actions out;
+    this->self->latest = now.monotonic;
+    if (this->self->model == nullptr || number >= this->self->configuration) {
+        this->self->apply(std::move(next), number, now.monotonic, out);
     }
-    this->self->host = config::find_host(*next, this->self->settings.host_name);
-    this->self->target_in_flight.assign(next->targets.size(), 0);
-    this->self->model = std::move(next);
-    this->self->configuration = number;
-    return {};
+    return out;
 }
 
 actions node::arrive(const arrival& request, time_point now)
 {
-    (void)now;
-    if (!this->self->ready()) {
-        return {
-            refuse{request.id, refusal_reason::not_configured, run_state::no, usual_retry_after}};
-    }
-    if (this->self->stopping) {
-        return {
-            refuse{request.id, refusal_reason::shutting_down, run_state::no, usual_retry_after}};
-    }
-    return this->self->start(request);
+    actions out;
+    this->self->latest = now;
+    this->self->arrive(request, now, out);
+    return out;
 }
 
 actions node::finished(const try_result& result, time_point now)
 {
-    (void)now;
-    const auto found = this->self->requests.find(result.id);
-    if (found == this->self->requests.end()) {
-        return {};
-    }
-    const request_row row = found->second;
-    this->self->requests.erase(found);
-    if (row.target) {
-        --this->self->target_in_flight.at(row.target->index());
-    }
-    const bool done =
-        result.outcome == try_outcome::answered || result.outcome == try_outcome::cancelled;
-    if (done || result.answer_started) {
-        return {};
-    }
-    const bool not_run =
-        result.outcome == try_outcome::not_run || result.outcome == try_outcome::connect_failed;
-    const auto reason = result.peer_reason.value_or(row.peer ? refusal_reason::peer_failed
-                                                             : refusal_reason::target_failed);
-    return {refuse{result.id, reason, not_run ? run_state::no : run_state::unknown,
-                   std::max(usual_retry_after, result.retry_after)}};
+    actions out;
+    this->self->latest = now;
+    this->self->finish(result, now, out);
+    return out;
 }
 
 actions node::receive(host_id from, const peer_message& message, time_point now)
 {
-    (void)from;
-    (void)message;
-    (void)now;
-    return {};
+    actions out;
+    this->self->latest = now;
+    this->self->receive_grants(from, message, now, out);
+    return out;
 }
 
 actions node::peer_lost(host_id peer, time_point now)
 {
-    (void)peer;
-    (void)now;
-    return {};
+    actions out;
+    this->self->latest = now;
+    this->self->cancel_forwarded_by(peer, now, out);
+    this->self->book.peer_lost(peer);
+    this->self->drop_busy_of(peer);
+    return out;
 }
 
 actions node::report(const load_report& report, time_point now)
 {
-    (void)report;
-    (void)now;
-    return {};
+    actions out;
+    this->self->latest = now;
+    this->self->targets.report(report, now);
+    this->self->tick(now, out);
+    return out;
 }
 
 actions node::platform(const platform_list& list, time_point now)
@@ -174,13 +136,16 @@
 {
     this->self->stopping = true;
     this->self->stop_began = now;
+    this->self->owners.set_leaving(true);
     return {};
 }
 
 actions node::tick(clock_reading now)
 {
-    (void)now;
-    return {};
+    actions out;
+    this->self->latest = now.monotonic;
+    this->self->tick(now.monotonic, out);
+    return out;
 }
 
 lookup_answer node::lookup(const lookup_query& query, time_point now)
@@ -215,4 +180,26 @@
     return this->self->requests.size();
 }
 
+grant_view node::grants(time_point now) const
+{
+    grant_view view;
+    if (!this->self->ready()) {
+        return view;
+    }
+    for (ledger_use& each : this->self->ledger.use(now)) {
+        if (this->self->owners.owns(each.service, now)) {
+            view.granted.push_back(std::move(each));
+        }
+    }
+    view.held = this->self->book.held(now);
+    return view;
+}
+
+violations node::check_invariants() const
+{
+    violations found;
+    this->self->check(found);
+    return found;
+}
+
 } // namespace bth::steering
