--- a/bth/membership/publisher.cpp
+++ b/bth/membership/publisher.cpp
@@ -184,6 +184,20 @@
     return names;
 }
 
+std::vector<std::string> publisher::relays() const
+{
+    std::vector<std::string> names;
+    for (const domain_row& row : this->rows) {
+        if (this->active) {
+            names.push_back(row.host_at(row.first));
+        }
+        if (this->active && row.hosts.size() > 1) {
+            names.push_back(row.host_at(row.second));
+        }
+    }
+    return names;
+}
+
 std::vector<domain_status> publisher::domains(time_point now) const
 {
     std::vector<domain_status> all;
--- a/bth/membership/publisher.h
+++ b/bth/membership/publisher.h
@@ -55,6 +55,10 @@
     const config::text_table& table() const { return this->newest; }
     // The hosts that have not confirmed this revision or a later one, by name.
     std::vector<std::string> unconfirmed(revision at) const;
+    // The highest revision that each host has confirmed; 0 for one that confirmed none.
+    const std::map<std::string, revision>& confirmations() const { return this->confirmed; }
+    // The relays that heartbeats go to, by failure domain; none while inactive.
+    std::vector<std::string> relays() const;
     std::vector<domain_status> domains(time_point now) const;
 
 private:
