Let several control hosts agree on the operators' edits

Cause: bth-control decided alone; one lost disk lost the configuration. Status and metrics show term, leader, whether it is in charge, caught up, and how far each member is behind; POST /members adds and removes hosts. A data folder must exist: one that isn't mounted must not look blank.

--- a/bth/consensus/codec.cpp
+++ b/bth/consensus/codec.cpp
@@ -1,6 +1,6 @@
 #include "bth/consensus/codec.h"
 
-#include "bth/consensus/consensus_generated.h"
+#include "bth/consensus/internal/consensus_generated.h"
 
 #include <utility>
 
--- a/bth/consensus/member.h
+++ b/bth/consensus/member.h
@@ -27,10 +27,10 @@
 template <class Machine>
 concept state_machine = requires(Machine& machine, const Machine& known, const std::string& bytes)
 {
-    // Carries out a command and returns its answer.
+    // Carries out a command.
     {
         machine.apply(bytes)
-        } -> std::same_as<std::string>;
+        } -> std::same_as<typename Machine::answer>;
     {
         known.snapshot()
         } -> std::same_as<std::string>;
@@ -54,15 +54,19 @@
 };
 
 // A request that a replica took is answered by the state machine or by the replica.
+template <class Answer>
 struct request_result {
     request_answer answer;
-    // The state machine's answer, for a command that is committed.
-    std::optional<std::string> applied;
+    // The state machine's answer, for a command that is committed. A change of members gets the
+    // answer of a machine that did nothing.
+    std::optional<Answer> applied;
 };
 
 template <storage::disk Disk, state_machine Machine>
 class member {
 public:
+    using result = request_result<typename Machine::answer>;
+
     // Restores what the disk holds. Errors: damage, another host's folder, or an I/O error.
     static tl::expected<member, storage::storage_error>
     open(Disk disk, const member_settings& settings, Machine machine, time_point now);
@@ -93,7 +97,7 @@
     }
 
     std::vector<envelope> take_messages() { return std::exchange(this->messages, {}); }
-    std::vector<request_result> take_results() { return std::exchange(this->results, {}); }
+    std::vector<result> take_results() { return std::exchange(this->results, {}); }
 
     const Machine& state() const { return this->machine; }
     // The last entry that the state machine holds.
@@ -153,7 +157,7 @@
     std::uint64_t next_compaction{};
     log_index applied;
     std::vector<envelope> messages;
-    std::vector<request_result> results;
+    std::vector<result> results;
     std::optional<storage::storage_error> failed;
     std::optional<storage::cut_tail> cut;
 };
@@ -307,7 +311,7 @@
         this->applied = out.taken->index;
     }
     for (const auto& each : out.committed) {
-        std::string answer;
+        typename Machine::answer answer{};
         if (each.entry.kind == entry_kind::command) {
             answer = this->machine.apply(each.entry.data);
         }
--- a/bth/consensus/replica_membership.cpp
+++ b/bth/consensus/replica_membership.cpp
@@ -11,6 +11,9 @@
 // The entries that a learner may be behind when it becomes a voter.
 constexpr std::uint64_t promotion_lag = 16;
 
+// The silence, in election timeouts, after which a voter suspects that it was taken out.
+constexpr int removal_silence = 3;
+
 void erase_host(std::vector<member_id>& members, const std::string& host)
 {
     std::erase_if(members, [&](const auto& row) { return row.host == host; });
@@ -34,11 +37,13 @@
     this->applicants.push_back({from, now});
 }
 
-// A replica that isn't in the configuration it knows, and hears no leader, asks every seed.
+// A replica that isn't in the configuration it knows, and hears no leader, asks every seed. One
+// that is in it asks after a longer silence: it may have been taken out without hearing of it.
 void replica::ask_to_join(time_point now)
 {
-    const auto& members = this->log.members();
-    if (is_voter(members, this->self) || now < this->join_due) {
+    const bool voter = is_voter(this->log.members(), this->self);
+    const bool silent = now - this->heard_leader > removal_silence * this->options.election_least;
+    if ((voter && !silent) || now < this->join_due) {
         return;
     }
     this->join_due = now + this->options.heartbeat;
--- a/bth/consensus/testing/fake_group.h
+++ b/bth/consensus/testing/fake_group.h
@@ -26,7 +26,8 @@
 namespace bth::consensus::testing {
 
 using test_member = member<storage::testing::fake_disk, ledger>;
-using result_handler = std::function<void(const request_result&)>;
+using test_result = test_member::result;
+using result_handler = std::function<void(const test_result&)>;
 
 // What the network does to a message. Shares are out of 1000.
 struct network_conduct {
--- a/bth/consensus/testing/ledger.h
+++ b/bth/consensus/testing/ledger.h
@@ -15,6 +15,8 @@
 
 class ledger {
 public:
+    using answer = std::string;
+
     std::string apply(const std::string& command);
     std::string snapshot() const;
     bool restore(const std::string& bytes);
--- a/bth/consensus/testing/schedule.cpp
+++ b/bth/consensus/testing/schedule.cpp
@@ -153,7 +153,7 @@
     void submit(int who, const std::string& id, std::size_t expected, std::size_t host)
     {
         const auto attempt = ++this->attempts[who];
-        this->group.submit(host, id, expected, [=, this](const request_result& result) {
+        this->group.submit(host, id, expected, [=, this](const test_result& result) {
             if (result.applied) {
                 this->answered(who, id, expected, *result.applied);
             }
@@ -197,7 +197,7 @@
     void read(std::size_t host)
     {
         const auto seen = this->group.history().size();
-        this->group.read(host, [=, this](const request_result& result) {
+        this->group.read(host, [=, this](const test_result& result) {
             const bool ready =
                 !result.applied && result.answer.outcome == request_outcome::read_ready;
             if (ready && this->group.running(host) &&
--- a/bth/control/edit_service.cpp
+++ b/bth/control/edit_service.cpp
@@ -1,5 +1,9 @@
 #include "bth/control/edit_service.h"
 
+#include "bth/config/json_reader.h"
+
+#include <chrono>
+
 #include <json/value.h>
 #include <json/writer.h>
 
@@ -96,4 +100,33 @@
     return target.substr(0, target.find('?'));
 }
 
+boost::asio::awaitable<tl::expected<shell::http_response, std::string>>
+forward_request(shell::http_request request, endpoint leader)
+{
+    constexpr std::chrono::seconds limit{6};
+    request.set(forwarded_header, "1");
+    request.set(field::host, to_string(leader));
+    const auto version = request.version();
+    auto answer = co_await shell::http_call(leader, std::move(request), limit);
+    if (answer) {
+        answer->version(version);
+    }
+    co_return answer;
+}
+
+std::optional<member_change> read_member_change(const std::string& body)
+{
+    findings found;
+    const auto document = config::json_document::parse("request", body, found);
+    if (!document) {
+        return std::nullopt;
+    }
+    config::json_object root{document->root(), *document, found};
+    const auto action = root.required_string("action").value_or("");
+    member_change change{root.required_string("host").value_or(""), action == "add"};
+    root.finish();
+    const bool known = change.add || action == "remove";
+    return found.empty() && known ? std::optional{std::move(change)} : std::nullopt;
+}
+
 } // namespace bth::control
--- a/bth/control/edit_service.h
+++ b/bth/control/edit_service.h
@@ -3,6 +3,10 @@
 //   GET  /text      the accepted text, with its version in the header Bth-Version
 //   GET  /status    what this host knows, as JSON; GET / shows it as a page
 //   GET  /metrics   counters in the text format of Prometheus
+//   POST /members   {"action": "add" or "remove", "host": NAME} changes the control hosts
+//
+// Where the acceptance path is replicated, a host that doesn't lead passes edits, reads and changes
+// of members on to the leader, once.
 //
 //   auto service = std::make_shared<edit_service<local_proposer>>(proposer, 10'000);
 //   auto server = std::make_shared<http_server>(std::move(acceptor), service->handler());
@@ -14,8 +18,10 @@
 #include "bth/control/status_page.h"
 #include "bth/shell/simple_http.h"
 
+#include <concepts>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -32,6 +38,30 @@
 // The path of a request without its query.
 std::string path_of(const shell::http_request& request);
 
+// Marks a request that another control host has passed on.
+inline constexpr const char* forwarded_header = "Bth-Forwarded";
+
+// The leader's answer to the request, or an error sentence.
+boost::asio::awaitable<tl::expected<shell::http_response, std::string>>
+forward_request(shell::http_request request, endpoint leader);
+
+// A change of members as operators ask for it.
+struct member_change {
+    std::string host;
+    bool add{};
+};
+std::optional<member_change> read_member_change(const std::string& body);
+
+// An acceptance path of several hosts.
+template <class Proposer>
+concept replicated = requires(Proposer& in, const Proposer& known, std::string host)
+{
+    {
+        known.leader_http()
+        } -> std::same_as<std::optional<endpoint>>;
+    in.change_member(host, true);
+};
+
 template <proposer Proposer>
 class edit_service : public std::enable_shared_from_this<edit_service<Proposer>> {
 public:
@@ -55,6 +85,16 @@
         using boost::beast::http::status;
         using boost::beast::http::verb;
         const std::string path = path_of(request);
+        const bool decided_by_leader = path == "/edits" || path == "/text" || path == "/members";
+        if constexpr (replicated<Proposer>) {
+            const auto leader = this->decider->leader_http();
+            if (decided_by_leader && leader && request[forwarded_header].empty()) {
+                co_return co_await this->forward(std::move(request), *leader);
+            }
+            if (request.method() == verb::post && path == "/members") {
+                co_return co_await this->change_member(std::move(request));
+            }
+        }
         if (request.method() == verb::post && path == "/edits") {
             co_return co_await this->decide(std::move(request));
         }
@@ -94,6 +134,35 @@
         co_return answer_response(request, decided->answer);
     }
 
+    response forward(shell::http_request request, endpoint leader)
+    {
+        auto answer = co_await forward_request(request, leader);
+        if (answer) {
+            co_return std::move(*answer);
+        }
+        const bool get = request.method() == boost::beast::http::verb::get;
+        const proposal_failure failure{proposal_failure_reason::no_leader,
+                                       get ? run_state::no : run_state::unknown,
+                                       "the leader gave no answer: " + answer.error()};
+        this->metrics.count(failure);
+        co_return failure_response(request, "", failure);
+    }
+
+    response change_member(shell::http_request request)
+    {
+        const auto change = read_member_change(request.body());
+        if (!change) {
+            co_return shell::make_response(request, boost::beast::http::status::bad_request,
+                                           "text/plain", "expected an action and a host\n");
+        }
+        const auto done = co_await this->decider->change_member(change->host, change->add);
+        if (!done) {
+            co_return failure_response(request, "", done.error());
+        }
+        co_return shell::make_response(request, boost::beast::http::status::ok, "text/plain",
+                                       change->add ? "added as learner\n" : "removed\n");
+    }
+
     response text(shell::http_request request)
     {
         const auto read = co_await this->decider->read();
--- a/bth/control/metrics.cpp
+++ b/bth/control/metrics.cpp
@@ -27,7 +27,12 @@
                          "The version of the text that this host has applied.")},
       kept_ids{&one_gauge(this->registry, "bth_control_kept_edit_ids",
                           "Edit ids that are kept with their answers.")},
-      leads{&one_gauge(this->registry, "bth_control_leader", "1 while this host is the leader.")}
+      leads{&one_gauge(this->registry, "bth_control_leader", "1 while this host is the leader.")},
+      leader_known{&one_gauge(this->registry, "bth_control_leader_known",
+                              "1 while this host knows a leader that is in charge.")},
+      term{&one_gauge(this->registry, "bth_control_term", "The term of the agreed log.")},
+      caught_up{&one_gauge(this->registry, "bth_control_caught_up",
+                           "0 while this host may be behind what it had before a restart.")}
 {
     auto& edit_family = prometheus::BuildCounter()
                             .Name("bth_control_edits_total")
@@ -75,6 +80,9 @@
     this->version->Set(static_cast<double>(status.version.value()));
     this->kept_ids->Set(static_cast<double>(status.kept_ids));
     this->leads->Set(status.role == "leader" ? 1 : 0);
+    this->leader_known->Set(status.leader.empty() ? 0 : 1);
+    this->term->Set(static_cast<double>(status.term));
+    this->caught_up->Set(status.caught_up ? 1 : 0);
 }
 
 std::string control_metrics::text() const
--- a/bth/control/metrics.h
+++ b/bth/control/metrics.h
@@ -43,6 +43,9 @@
     prometheus::Gauge* version{};
     prometheus::Gauge* kept_ids{};
     prometheus::Gauge* leads{};
+    prometheus::Gauge* leader_known{};
+    prometheus::Gauge* term{};
+    prometheus::Gauge* caught_up{};
 };
 
 } // namespace bth::control
--- a/bth/control/proposer.h
+++ b/bth/control/proposer.h
@@ -50,10 +50,13 @@
 // What one control host knows of another.
 struct member_status {
     std::string host;
-    // "leader", "follower", "learner", "candidate" or "unreachable".
+    // "leader", "follower", "learner", "newcomer" (asks to be let in), "candidate", "unreachable",
+    // "stopped" (its disk failed) or "unknown" (only the leader knows).
     std::string role;
     // The last version that it is known to have.
     revision version;
+    // The entries of the log that it is behind, if this host knows.
+    std::optional<std::uint64_t> behind{};
 };
 
 // The last version that an entry host confirmed to be in force there.
@@ -71,6 +74,8 @@
     // The version that this host has applied; others may have a later one.
     revision version;
     std::size_t kept_ids{};
+    // Whether this host has at least what it had before it was restarted or lost its disk.
+    bool caught_up{true};
     std::vector<member_status> members;
     // By host name; nothing where this host takes no part in the distribution.
     std::optional<std::vector<host_confirmation>> confirmations;
--- a/bth/control/status_page.cpp
+++ b/bth/control/status_page.cpp
@@ -50,12 +50,16 @@
     out["term"] = Json::UInt64{status.term};
     out["version"] = version_json(status.version);
     out["kept_edit_ids"] = Json::UInt64{status.kept_ids};
+    out["caught_up"] = status.caught_up;
     out["members"] = Json::Value{Json::arrayValue};
     for (const member_status& member : status.members) {
         Json::Value entry{Json::objectValue};
         entry["host"] = member.host;
         entry["role"] = member.role;
         entry["version"] = version_json(member.version);
+        if (member.behind) {
+            entry["behind"] = Json::UInt64{*member.behind};
+        }
         out["members"].append(entry);
     }
     out["confirmations"] = Json::Value{};
--- a/bth/storage/posix_disk.cpp
+++ b/bth/storage/posix_disk.cpp
@@ -7,14 +7,12 @@
 
 #include <fcntl.h>
 #include <sys/file.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 namespace bth::storage {
 
 namespace {
 
-constexpr mode_t folder_mode = 0750;
 constexpr mode_t file_mode = 0640;
 constexpr std::size_t read_block = std::size_t{64} * 1024;
 
@@ -38,13 +36,10 @@
 
 tl::expected<posix_disk, storage_error> posix_disk::open(const std::string& folder)
 {
-    if (::mkdir(folder.c_str(), folder_mode) != 0 && errno != EEXIST) {
-        return failed(folder, "make the data folder");
-    }
     posix_disk made{folder};
     auto folder_file = made.open_file(folder, O_RDONLY | O_DIRECTORY);
     if (!folder_file) {
-        return tl::make_unexpected(folder_file.error());
+        return failed(folder, "open the data folder");
     }
     made.folder_file = *folder_file;
     auto lock = made.open_file(made.path("lock"), O_RDWR | O_CREAT);
--- a/bth/storage/posix_disk.h
+++ b/bth/storage/posix_disk.h
@@ -13,8 +13,9 @@
 
 class posix_disk {
 public:
-    // Opens the folder, which is made if only its last part is missing, and locks it as long as the
-    // disk lives. The lock goes with the process, however that ends.
+    // Opens the folder, which must exist (a folder that isn't mounted must not look like a blank
+    // one), and locks it as long as the disk lives. The lock goes with the process, however that
+    // ends.
     static tl::expected<posix_disk, storage_error> open(const std::string& folder);
 
     tl::expected<std::optional<std::string>, storage_error> read(const std::string& name);
