--- a/bth/config/text_table.cpp
+++ b/bth/config/text_table.cpp
@@ -20,6 +20,9 @@
     "caller_classes", "services",        "targets", "drains"};
 constexpr std::string_view block_section = "client_blocks";
 
+// A full list of rows grows by this part of its size.
+constexpr std::size_t growth_divisor = 16;
+
 std::string canonical(const Json::Value& value)
 {
     Json::StreamWriterBuilder builder;
@@ -131,7 +134,12 @@
         *place = std::move(row);
         return;
     }
-    rows.insert(place, std::move(row));
+    const auto index = place - rows.begin();
+    if (rows.size() == rows.capacity()) {
+        // Doubling would leave up to half of a large table unused.
+        rows.reserve(rows.size() + rows.size() / growth_divisor + 1);
+    }
+    rows.insert(rows.begin() + index, std::move(row));
 }
 
 // Merges many rows at the cost of one pass over the table.
@@ -187,6 +195,7 @@
     }
     all.domains = table.domains;
     table.merge(all);
+    table.shrink_to_fit();
     return table;
 }
 
@@ -268,6 +277,12 @@
     this->merge_unique(unique_rows(change));
 }
 
+void text_table::shrink_to_fit()
+{
+    this->rows.shrink_to_fit();
+    this->block_rows.shrink_to_fit();
+}
+
 void text_table::merge_unique(const delta& change)
 {
     this->sum = this->sum_after(change);
--- a/bth/config/text_table.h
+++ b/bth/config/text_table.h
@@ -98,6 +98,9 @@
     // whose digest is compared at its end.
     void merge(const delta& change);
 
+    // Gives back memory that a merge of many rows left unused.
+    void shrink_to_fit();
+
     // The text of the table: sections in their order, entries by name.
     std::string to_text() const;
 
--- a/bth/membership/agent.cpp
+++ b/bth/membership/agent.cpp
@@ -296,6 +296,9 @@
         this->pulling.reset();
         this->missing.reset();
     }
+    if (!this->behind()) {
+        this->pull_on = false;
+    }
     if (this->pulling || !this->behind()) {
         return;
     }
--- a/bth/membership/replica.cpp
+++ b/bth/membership/replica.cpp
@@ -15,6 +15,7 @@
 {
     if (stored) {
         this->newest = std::move(*stored);
+        this->newest.shrink_to_fit();
         this->stored_upto = this->newest.at();
     }
 }
@@ -122,6 +123,7 @@
         ++this->counts.damaged;
         return;
     }
+    whole.table.shrink_to_fit();
     this->newest = std::move(whole.table);
     this->edits.clear();
     this->to_store.clear();
--- a/bth/membership/testing/fake_world.cpp
+++ b/bth/membership/testing/fake_world.cpp
@@ -280,6 +280,7 @@
     std::string payload = encode(what.what);
     ++by.counted.messages_out;
     by.counted.bytes_out += wire_bytes(payload.size());
+    by.counted.bytes_in += header_bytes; // The acknowledgement.
     if (this->is_cut(by, to) || this->chance(this->faults.loss)) {
         return;
     }
@@ -305,6 +306,7 @@
         }
         ++to.counted.messages_in;
         to.counted.bytes_in += wire_bytes(payload->size());
+        to.counted.bytes_out += header_bytes;
         this->perform(to, to.core ? to.core->receive(this->now, sender, *what)
                                   : to.control->receive(this->now, sender, *what));
     });
--- a/bth/membership/testing/fake_world.h
+++ b/bth/membership/testing/fake_world.h
@@ -55,8 +55,8 @@
     std::uint64_t bytes_in{};
 };
 
-// The bytes that one message takes on the wire: payload, frame, TCP and IP headers of each packet,
-// and an acknowledgement.
+// The bytes that one message takes on the wire: payload, frame, and the TCP and IP headers of each
+// packet. Each message is charged an acknowledgement of its own besides, in the other direction.
 std::uint64_t wire_bytes(std::size_t payload);
 
 class fake_world {
