Measure distribution, and feed it with what control accepts

Ruled out: reporting each host's confirmation to control one by one; summaries during the first 300 ms of a roll-out, which named up to 40 hosts that were about to confirm. Change: bth-measure-spread prints bytes, messages, delays, catch-up and memory under virtual time. config_feed hands bth-control's accepted texts to a publisher and puts the hosts' confirmations into its status. A host states and confirms a revision only once its shell says that it uses it. Found by a test: status said "in force on all hosts" for the 10 ms before the publisher knew the accepted version; it now says nothing of confirmations until it does.

--- a/bth/control/edit_service.h
+++ b/bth/control/edit_service.h
@@ -15,6 +15,7 @@
 #include "bth/shell/simple_http.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -35,8 +36,12 @@
 template <proposer Proposer>
 class edit_service : public std::enable_shared_from_this<edit_service<Proposer>> {
 public:
+    // Adds to a status what the acceptance path doesn't know.
+    using status_completion = std::function<void(control_status&)>;
+
     // `decider` outlives the service. Edits that come in here carry `ids_kept`.
-    edit_service(Proposer& decider, std::uint32_t ids_kept) : decider{&decider}, ids_kept{ids_kept}
+    edit_service(Proposer& decider, std::uint32_t ids_kept, status_completion complete = {})
+        : decider{&decider}, ids_kept{ids_kept}, complete{std::move(complete)}
     {}
 
     // A handler that keeps the service alive.
@@ -63,20 +68,29 @@
         }
         if (request.method() == verb::get && path == "/status") {
             co_return shell::make_response(request, status::ok, "application/json",
-                                           status_json(this->decider->status()));
+                                           status_json(this->status()));
         }
         if (request.method() == verb::get && path == "/") {
             co_return shell::make_response(request, status::ok, "text/html",
-                                           status_html(this->decider->status()));
+                                           status_html(this->status()));
         }
         if (request.method() == verb::get && path == "/metrics") {
-            this->metrics.show(this->decider->status());
+            this->metrics.show(this->status());
             co_return shell::make_response(request, status::ok, "text/plain; version=0.0.4",
                                            this->metrics.text());
         }
         co_return unknown_path_response(request);
     }
 
+    control_status status() const
+    {
+        control_status known = this->decider->status();
+        if (this->complete) {
+            this->complete(known);
+        }
+        return known;
+    }
+
     response decide(shell::http_request request)
     {
         auto one = read_edit_request(std::move(request.body()), this->ids_kept);
@@ -105,6 +119,7 @@
 
     Proposer* decider;
     std::uint32_t ids_kept;
+    status_completion complete;
     control_metrics metrics;
 };
 
--- a/bth/control/local_proposer.h
+++ b/bth/control/local_proposer.h
@@ -26,6 +26,7 @@
     boost::asio::awaitable<tl::expected<applied_edit, proposal_failure>> propose(edit one);
     boost::asio::awaitable<tl::expected<accepted_text, proposal_failure>> read();
     control_status status() const;
+    accepted_text applied() const { return {this->book.version(), this->book.text()}; }
 
 private:
     local_proposer(std::string host, data_folder folder, edit_book book)
--- a/bth/control/main.cpp
+++ b/bth/control/main.cpp
@@ -1,4 +1,5 @@
 // bth-control: accepts the operators' edits.
+#include "bth/control/config_feed.h"
 #include "bth/control/edit_service.h"
 #include "bth/control/local_proposer.h"
 #include "bth/control/settings.h"
@@ -8,8 +9,10 @@
 #include "bth/shell/program.h"
 #include "bth/shell/simple_http.h"
 
+#include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -26,6 +29,25 @@
     return bth::shell::fail_start(program, why);
 }
 
+// A later life of a host has a larger value: the wall time at its start.
+bth::incarnation new_life()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(since).count();
+    return bth::incarnation{static_cast<std::uint64_t>(us)};
+}
+
+std::vector<bth::shell::peer_address> other_peers(const control_settings& settings)
+{
+    std::vector<bth::shell::peer_address> peers;
+    for (const bth::control::control_member& each : settings.members) {
+        if (each.host != settings.host) {
+            peers.push_back({each.host, each.peer});
+        }
+    }
+    return peers;
+}
+
 // Answers operators until a signal to stop; requests under way are finished.
 int serve(const control_settings& settings, local_proposer& decider)
 {
@@ -35,14 +57,27 @@
         return fail(acceptor.error());
     }
     const auto log = log4cplus::Logger::getInstance("control");
-    const auto service =
-        std::make_shared<bth::control::edit_service<local_proposer>>(decider, settings.ids_kept);
+    const auto link = std::make_shared<bth::shell::peer_link>(
+        context.get_executor(), bth::shell::peer_link_settings{settings.host, new_life()});
+    const auto feed = std::make_shared<bth::control::config_feed<local_proposer>>(
+        context, decider,
+        std::make_shared<bth::distribution::publisher_driver>(context, link,
+                                                              other_peers(settings)));
+    feed->start();
+    if (const auto listening = link->listen(settings.peer); !listening) {
+        return fail(listening.error());
+    }
+    const auto service = std::make_shared<bth::control::edit_service<local_proposer>>(
+        decider, settings.ids_kept,
+        [feed](bth::control::control_status& status) { feed->complete(status); });
     const auto server =
         std::make_shared<bth::shell::http_server>(std::move(*acceptor), service->handler());
     server->start();
     bth::shell::on_stop_signal(context, [&] {
         LOG4CPLUS_INFO(log, "Stopping.");
         server->stop();
+        feed->stop();
+        link->stop();
     });
     LOG4CPLUS_INFO(log, "Listening on " << bth::to_string(settings.http) << " with version "
                                         << decider.status().version.value() << ".");
--- a/bth/distribution/agent_driver.cpp
+++ b/bth/distribution/agent_driver.cpp
@@ -142,6 +142,7 @@
         return;
     }
     this->on_in_force(std::make_shared<const config::model>(std::move(*model)), what.mark.at);
+    this->perform(this->core->in_use(shell::monotonic_now()));
 }
 
 } // namespace bth::distribution
--- a/bth/distribution/drivers_test.cpp
+++ b/bth/distribution/drivers_test.cpp
@@ -44,8 +44,8 @@
     std::string hosts;
     for (std::size_t index = 0; index < peers.size(); ++index) {
         hosts += (index == 0 ? "" : ",") + std::string{R"({"name":"entry-)"} +
-                 std::to_string(index) + R"(","failure_domain":"d","http":"127.0.0.1:1","peer":")" +
-                 to_string(peers[index]) + "\"}";
+                 std::to_string(index) + R"(","failure_domain":"d","http":"127.0.0.1:)" +
+                 std::to_string(index + 1) + R"(","peer":")" + to_string(peers[index]) + "\"}";
     }
     return R"({"regions":[{"name":"r","cap":{"requests_per_second":9,"in_flight":)" +
            std::to_string(100 + edit) +
--- a/bth/membership/agent.cpp
+++ b/bth/membership/agent.cpp
@@ -14,6 +14,8 @@
 constexpr duration relay_timeout = std::chrono::milliseconds{3000};
 // Changes of the confirmations are reported no more often than this.
 constexpr duration summary_interval = std::chrono::milliseconds{100};
+// A new revision has this time to reach all hosts before those without it are reported.
+constexpr duration spreading_time = std::chrono::milliseconds{300};
 constexpr duration far_probe_interval = std::chrono::milliseconds{1000};
 // A relay that pulled at most this many edits at once passes them on; more are left to the others'
 // own pulls.
@@ -72,6 +74,16 @@
     return out;
 }
 
+actions agent::in_use(time_point now)
+{
+    actions out;
+    this->used = this->copy.in_force();
+    this->used_since = now;
+    this->send_confirmation(now, out);
+    this->send_summary(now, false, out);
+    return out;
+}
+
 void agent::on(time_point now, const peer& from, const probe_message& what, actions& out)
 {
     this->take_stamp(now, from, what.stamp);
@@ -164,7 +176,7 @@
 
 host_stamp agent::stamp(time_point now) const
 {
-    host_stamp said{this->copy.in_force(), this->relay, never_heard};
+    host_stamp said{this->used, this->relay, never_heard};
     if (this->control_heard) {
         const auto age =
             std::chrono::duration_cast<std::chrono::milliseconds>(now - *this->control_heard);
@@ -313,7 +325,7 @@
 
 void agent::send_confirmation(time_point now, actions& out)
 {
-    const revision at = this->copy.in_force().at;
+    const revision at = this->used.at;
     if (this->relay.empty() || this->relay == this->settings.self.host ||
         at <= this->confirmed_upto) {
         return;
@@ -329,7 +341,7 @@
 
 domain_summary agent::summary() const
 {
-    domain_summary said{this->copy.in_force().at, 0, {}};
+    domain_summary said{this->used.at, 0, {}};
     for (const member& row : this->detector.members()) {
         const auto known = this->role->confirmed.find(row.host);
         const bool confirmed =
@@ -357,7 +369,9 @@
         return;
     }
     domain_summary said = this->summary();
-    if (!even_if_unchanged && said == this->role->last_sent) {
+    const bool still_spreading =
+        said.unconfirmed_count > 0 && now - this->used_since < spreading_time;
+    if (!even_if_unchanged && (still_spreading || said == this->role->last_sent)) {
         return;
     }
     this->role->last_summary = now;
@@ -406,7 +420,7 @@
 agent_status agent::status(time_point now) const
 {
     agent_status said;
-    said.in_force = this->copy.in_force();
+    said.in_force = this->used;
     said.newest = this->copy.newest_revision();
     if (this->control_heard) {
         said.control_age = now - *this->control_heard;
--- a/bth/membership/agent.h
+++ b/bth/membership/agent.h
@@ -53,7 +53,8 @@
     message what;
 };
 
-// The revision that is in force from now on; agent::table() is its table.
+// The shell is to use this revision, whose table is agent::table(), and to answer with
+// agent::in_use() once it does.
 struct take_into_force {
     config_mark mark;
 };
@@ -84,6 +85,8 @@
     actions receive(time_point now, const peer& from, const message& what);
     // The result of a persist_order.
     actions persisted(time_point now, revision upto);
+    // The shell uses the revision that take_into_force named. Only then is it stated and confirmed.
+    actions in_use(time_point now);
     void persist_failed() { this->copy.persist_failed(); }
     // Hosts that the platform's list says are gone.
     void hint_gone(const std::vector<std::string>& hosts) { this->detector.hint_gone(hosts); }
@@ -152,6 +155,9 @@
     config::table_digest known_hosts;
     // The revision that known_hosts was computed for.
     revision hosts_revision;
+    // What the shell uses.
+    config_mark used;
+    time_point used_since;
     std::optional<time_point> started;
     bool ready{};
     std::optional<time_point> control_heard;
--- a/bth/membership/spread_measurement.cpp
+++ b/bth/membership/spread_measurement.cpp
@@ -48,7 +48,7 @@
                        domain % size.regions, index % durable_period == 0);
     }
     world.begin();
-    world.run_for(10s);
+    world.run_for(30s);
     return world;
 }
 
@@ -234,7 +234,7 @@
 {
     fake_world world = make_world({hosts, domains, 3}, blocks);
     edit_at(world, 1.1, 20s);
-    std::printf("\nhost seconds: %d\n", hosts * 30);
+    std::printf("\nhost seconds: %d\n", hosts * 50);
 }
 
 int run(const std::vector<std::string>& words)
--- a/bth/membership/testing/fake_world.cpp
+++ b/bth/membership/testing/fake_world.cpp
@@ -357,6 +357,7 @@
     }
     by.in_force = what.mark.at;
     by.highest = std::max(by.highest, what.mark.at);
+    this->perform(by, by.core->in_use(this->now));
 }
 
 std::string fake_world::damaged(std::string payload)
