Add bth-entry: look-ups and the request path, thin and end to end

Change: bth-entry serves look-ups, passes requests to targets of its own domain over pooled HTTP/1.1 connections, and to another entry host as streams over the peer link; the steering core decides, the shell carries out. Bodies stream both ways: 16 KiB parts, a window of 256 KiB for each stream and direction. A connection goes back to its pool only after a whole answer in order. A cut answer resets the caller's connection. /metrics and /status stand at the admin endpoint.

Ruled out: co_await inside a condition, && or ||: g++ 12.2 made a coroutine whose own pointer was garbage (SIGILL and SIGSEGV at the first request, gone with a local variable). Beast's chunked(false) drops Content-Length, which the first test of a long body caught.

--- /dev/null
+++ b/bth/entry/driver.cpp
@@ -0,0 +1,138 @@
+#include "bth/entry/driver.h"
+
+#include "bth/shell/net.h"
+
+#include <utility>
+#include <variant>
+
+namespace bth::entry {
+
+steering_driver::steering_driver(steering::node_settings settings, entry_metrics& metrics,
+                                 message_sender send)
+    : core{std::move(settings)}, metrics{metrics}, send{std::move(send)}
+{}
+
+void steering_driver::apply(std::shared_ptr<const site_index> next)
+{
+    const auto now = shell::read_clocks();
+    this->present = std::move(next);
+    this->metrics.revision_in_force(this->present->number(), now.monotonic);
+    this->perform(this->core.apply(this->present->shared_model(), this->present->number(), now));
+}
+
+void steering_driver::arrive(const steering::arrival& request,
+                             const std::shared_ptr<request_orders>& orders)
+{
+    this->requests[request.id] = orders;
+    this->perform(this->core.arrive(request, shell::monotonic_now()));
+}
+
+void steering_driver::finished(const steering::try_result& result)
+{
+    const bool over = result.outcome == steering::try_outcome::answered ||
+                      result.outcome == steering::try_outcome::cancelled || result.answer_started;
+    if (over) {
+        this->forget(result.id);
+    }
+    this->perform(this->core.finished(result, shell::monotonic_now()));
+}
+
+void steering_driver::receive(const std::string& from, const steering::peer_message& message)
+{
+    const auto host = config::find_host(this->present->model(), from);
+    if (host) {
+        this->perform(this->core.receive(*host, message, shell::monotonic_now()));
+    }
+}
+
+void steering_driver::peer_lost(const std::string& peer)
+{
+    const auto host =
+        this->present ? config::find_host(this->present->model(), peer) : std::nullopt;
+    if (host) {
+        this->perform(this->core.peer_lost(*host, shell::monotonic_now()));
+    }
+}
+
+void steering_driver::report(const steering::load_report& report)
+{
+    this->perform(this->core.report(report, shell::monotonic_now()));
+}
+
+void steering_driver::platform(const steering::platform_list& list)
+{
+    this->perform(this->core.platform(list, shell::monotonic_now()));
+}
+
+steering::lookup_answer steering_driver::lookup(const steering::lookup_query& query)
+{
+    return this->core.lookup(query, shell::monotonic_now());
+}
+
+void steering_driver::tick()
+{
+    this->perform(this->core.tick(shell::read_clocks()));
+}
+
+void steering_driver::begin_shutdown()
+{
+    this->stopping = true;
+    this->perform(this->core.begin_shutdown(shell::monotonic_now()));
+}
+
+bool steering_driver::may_exit() const
+{
+    return this->requests.empty() && this->core.may_exit(shell::monotonic_now());
+}
+
+void steering_driver::perform(const steering::actions& actions)
+{
+    for (const steering::action& each : actions) {
+        std::visit([this](const auto& action) { this->perform_one(action); }, each);
+    }
+}
+
+void steering_driver::order_for(request_id id, order next)
+{
+    const auto found = this->requests.find(id);
+    if (found != this->requests.end()) {
+        found->second->push(std::move(next));
+    }
+}
+
+void steering_driver::perform_one(const steering::send_to_target& action)
+{
+    const config::target& row = this->present->model().at(action.target);
+    this->order_for(action.id, target_order{row.name, row.http, row.connections, action.deadline});
+}
+
+void steering_driver::perform_one(const steering::forward_to_host& action)
+{
+    this->order_for(action.id,
+                    peer_order{this->present->model().at(action.host).name, action.deadline});
+}
+
+void steering_driver::perform_one(const steering::refuse& action)
+{
+    this->order_for(action.id, refusal_order{action.reason, action.run, action.retry_after});
+}
+
+void steering_driver::perform_one(const steering::cancel_try& action)
+{
+    const auto found = this->requests.find(action.id);
+    if (found != this->requests.end()) {
+        found->second->stop(stop_cause::core);
+    }
+}
+
+void steering_driver::perform_one(const steering::send_message& action)
+{
+    this->send(this->present->model(), this->present->model().at(action.to).name, action.message);
+}
+
+void steering_driver::perform_one(const steering::count_retry& action)
+{
+    this->metrics.count_retry(action.reason);
+}
+
+} // namespace bth::entry
--- /dev/null
+++ b/bth/entry/entry_process.cpp
@@ -0,0 +1,249 @@
+#include "bth/entry/entry_process.h"
+
+#include "bth/config/text.h"
+#include "bth/entry/peer_caller.h"
+#include "bth/shell/files.h"
+#include "bth/shell/net.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace bth::entry {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr duration usual_retry_after = std::chrono::seconds{1};
+
+// A later life of a host has a larger value: the wall time at its start.
+incarnation new_life()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(since).count();
+    return incarnation{static_cast<std::uint64_t>(us)};
+}
+
+steering::node_settings node_settings_of(const entry_settings& settings, incarnation life)
+{
+    return {settings.host, life, life.value()};
+}
+
+} // namespace
+
+entry_process::entry_process(asio::io_context& context, entry_settings given)
+    : context{context}, settings{std::move(given)}, link{std::make_shared<shell::peer_link>(
+                                                        context.get_executor(),
+                                                        shell::peer_link_settings{
+                                                            this->settings.host, new_life()})},
+      streams{std::make_shared<stream_hub>(context.get_executor(), this->link)},
+      driver{node_settings_of(this->settings, this->link->life()), this->metrics,
+             [](const config::model&, const std::string&, const steering::peer_message&) {
+             }},
+      targets{context.get_executor()}, services{context.get_executor(), this->driver, this->targets,
+                                                *this->streams, this->metrics},
+      callers{std::make_shared<caller_server>(this->services, this->settings.limits)}, tick_timer{
+                                                                                           context}
+{}
+
+tl::expected<void, std::string> entry_process::start()
+{
+    auto model = this->read_model();
+    if (!model) {
+        return tl::unexpected{model.error()};
+    }
+    const auto self = config::find_host(**model, this->settings.host);
+    if (!self) {
+        return tl::unexpected{"no host \"" + this->settings.host + "\" in " +
+                              this->settings.text_file};
+    }
+    this->streams->start(
+        [weak = weak_from_this()](std::shared_ptr<stream_channel> channel, received_open request) {
+            if (const auto process = weak.lock()) {
+                process->serve_peer(std::move(channel), std::move(request));
+            }
+        });
+    this->link->on_change([this](const shell::peer_identity& peer, bool connected) {
+        if (!connected) {
+            this->driver.peer_lost(peer.name);
+        }
+    });
+    if (auto listening = this->listen((*model)->at(*self)); !listening) {
+        return listening;
+    }
+    this->apply(std::move(*model), revision{1});
+    asio::co_spawn(
+        this->context, [self = shared_from_this()] { return self->run_ticks(); }, asio::detached);
+    return {};
+}
+
+tl::expected<std::shared_ptr<const config::model>, std::string> entry_process::read_model() const
+{
+    const auto text = shell::read_file(this->settings.text_file);
+    if (!text) {
+        return tl::unexpected{text.error()};
+    }
+    auto model = config::read_text(this->settings.text_file, *text);
+    if (!model) {
+        return tl::unexpected{to_string(model.error())};
+    }
+    return std::make_shared<const config::model>(std::move(*model));
+}
+
+tl::expected<void, std::string> entry_process::listen(const config::entry_host& self)
+{
+    auto acceptor = shell::listen_on(this->context.get_executor(), self.http);
+    if (!acceptor) {
+        return tl::unexpected{acceptor.error()};
+    }
+    if (auto peers = this->link->listen(self.peer); !peers) {
+        return peers;
+    }
+    if (auto pages = this->listen_admin(); !pages) {
+        return pages;
+    }
+    this->callers->start(std::move(*acceptor));
+    LOG4CPLUS_INFO(this->log, "Serving callers at " << to_string(self.http) << ".");
+    return {};
+}
+
+tl::expected<void, std::string> entry_process::listen_admin()
+{
+    if (!this->settings.admin) {
+        return {};
+    }
+    auto acceptor = shell::listen_on(this->context.get_executor(), *this->settings.admin);
+    if (!acceptor) {
+        return tl::unexpected{acceptor.error()};
+    }
+    this->admin = std::make_shared<shell::http_server>(
+        std::move(*acceptor),
+        [this](shell::http_request request) -> asio::awaitable<shell::http_response> {
+            co_return this->answer_admin(request);
+        });
+    this->admin->start();
+    return {};
+}
+
+void entry_process::apply(std::shared_ptr<const config::model> model, revision number)
+{
+    std::vector<shell::peer_address> peers;
+    for (const config::entry_host& each : model->hosts) {
+        peers.push_back({each.name, each.peer});
+    }
+    this->driver.apply(
+        std::make_shared<const site_index>(std::move(model), number, this->settings.host));
+    this->link->set_peers(peers);
+    LOG4CPLUS_INFO(this->log, "Revision " << number.value() << " is in force.");
+}
+
+void entry_process::serve_peer(std::shared_ptr<stream_channel> channel, received_open request)
+{
+    asio::co_spawn(
+        this->context,
+        [self = shared_from_this(), channel = std::move(channel),
+         request = std::move(request)]() mutable {
+            return self->serve_forwarded(std::move(channel), std::move(request));
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> entry_process::serve_forwarded(std::shared_ptr<stream_channel> channel,
+                                                     received_open request)
+{
+    this->metrics.count_forwarded_arrival();
+    const auto& model = this->driver.site()->model();
+    const auto from = config::find_host(model, channel->peer_name());
+    const auto service = config::find_service(model, request.service);
+    const auto home = config::find_domain(model, request.home);
+    if (!from || !service || !home) {
+        this->metrics.count_refusal(refusal_reason::not_configured);
+        channel->send_refusal(
+            {run_state::no, refusal_reason::not_configured,
+             std::chrono::duration_cast<std::chrono::microseconds>(usual_retry_after)});
+        co_return;
+    }
+    steering::arrival arrival;
+    arrival.id = this->driver.next_request_id();
+    arrival.service = *service;
+    arrival.caller_class =
+        config::find_class(model, request.caller_class).value_or(model.public_class);
+    arrival.home = *home;
+    arrival.forwarded_by = *from;
+    arrival.repeatable = request.repeatable;
+    arrival.deadline = shell::monotonic_now() + request.timeout;
+    const request_names names{request.service, request.caller_class, request.home,
+                              request.repeatable};
+    const auto orders = std::make_shared<request_orders>(this->context.get_executor());
+    channel->on_broken = [orders] {
+        orders->stop(stop_cause::caller_gone);
+    };
+    peer_caller caller{channel, std::move(request)};
+    co_await serve(this->services, caller, orders, arrival, names);
+    channel->on_broken = nullptr;
+}
+
+asio::awaitable<void> entry_process::run_ticks()
+{
+    while (true) {
+        this->tick_timer.expires_after(steering::tick_interval);
+        boost::system::error_code ignored;
+        co_await this->tick_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        this->driver.tick();
+        this->targets.sweep(shell::monotonic_now());
+        this->end_if_done();
+    }
+}
+
+shell::http_response entry_process::answer_admin(const shell::http_request& request)
+{
+    if (request.target() == "/metrics") {
+        const entry_metrics::levels levels{this->driver.in_flight(), this->callers->connections(),
+                                           this->targets.open_connections(),
+                                           this->streams->open_streams(),
+                                           this->driver.is_stopping()};
+        return shell::make_response(request, http::status::ok, "text/plain; version=0.0.4",
+                                    this->metrics.render(levels, shell::monotonic_now()));
+    }
+    if (request.target() == "/status") {
+        return shell::make_response(request, http::status::ok, "application/json",
+                                    this->status_page());
+    }
+    return shell::make_response(request, http::status::not_found, "text/plain",
+                                "pages: /metrics, /status\n");
+}
+
+std::string entry_process::status_page() const
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->metrics.revision_age(shell::monotonic_now()));
+    return R"({"host":")" + this->settings.host + R"(","revision":)" +
+           std::to_string(this->metrics.number().value()) + R"(,"revision_age_ms":)" +
+           std::to_string(age.count()) + R"(,"in_flight":)" +
+           std::to_string(this->driver.in_flight()) + R"(,"stopping":)" +
+           (this->driver.is_stopping() ? "true" : "false") + "}\n";
+}
+
+void entry_process::stop()
+{
+    LOG4CPLUS_INFO(this->log, "Stopping; " << this->driver.in_flight() << " requests in flight.");
+    this->driver.begin_shutdown();
+}
+
+void entry_process::end_if_done()
+{
+    if (!this->driver.is_stopping() || !this->driver.may_exit()) {
+        return;
+    }
+    this->callers->stop();
+    this->link->stop();
+    this->context.stop();
+    LOG4CPLUS_INFO(this->log, "Stopped.");
+}
+
+} // namespace bth::entry
--- /dev/null
+++ b/bth/entry/entry_process.h
@@ -0,0 +1,64 @@
+// One entry host as a process: the steering core, the callers' side, the peers' side and the pages
+// for operators, put together.
+//
+//   auto process = std::make_shared<entry_process>(context, settings);
+//   if (auto started = process->start(); !started) { return fail_start(name, started.error()); }
+//   context.run();
+#pragma once
+
+#include "bth/entry/caller_server.h"
+#include "bth/entry/driver.h"
+#include "bth/entry/metrics.h"
+#include "bth/entry/serve.h"
+#include "bth/entry/settings.h"
+#include "bth/entry/stream_hub.h"
+#include "bth/entry/target_pool.h"
+#include "bth/shell/peer_link.h"
+#include "bth/shell/simple_http.h"
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <tl/expected.hpp>
+
+namespace bth::entry {
+
+class entry_process : public std::enable_shared_from_this<entry_process> {
+public:
+    entry_process(boost::asio::io_context& context, entry_settings settings);
+
+    // Reads the configuration and listens, or one sentence that says what failed.
+    tl::expected<void, std::string> start();
+    // Begins a graceful stop; the context stops once nothing is in flight.
+    void stop();
+
+private:
+    tl::expected<std::shared_ptr<const config::model>, std::string> read_model() const;
+    tl::expected<void, std::string> listen(const config::entry_host& self);
+    tl::expected<void, std::string> listen_admin();
+    void apply(std::shared_ptr<const config::model> model, revision number);
+    void serve_peer(std::shared_ptr<stream_channel> channel, received_open request);
+    boost::asio::awaitable<void> serve_forwarded(std::shared_ptr<stream_channel> channel,
+                                                 received_open request);
+    boost::asio::awaitable<void> run_ticks();
+    shell::http_response answer_admin(const shell::http_request& request);
+    std::string status_page() const;
+    void end_if_done();
+
+    boost::asio::io_context& context;
+    entry_settings settings;
+    entry_metrics metrics;
+    std::shared_ptr<shell::peer_link> link;
+    std::shared_ptr<stream_hub> streams;
+    steering_driver driver;
+    target_pool targets;
+    entry_services services;
+    std::shared_ptr<caller_server> callers;
+    std::shared_ptr<shell::http_server> admin;
+    boost::asio::steady_timer tick_timer;
+    log4cplus::Logger log{log4cplus::Logger::getInstance("entry")};
+};
+
+} // namespace bth::entry
--- /dev/null
+++ b/bth/entry/lookup.h
@@ -0,0 +1,20 @@
+// Look-ups: which entry hosts a caller should use for a service.
+//
+//   GET /lookup?service=NAME
+//   -> 200, Cache-Control: max-age=5, {"hosts":["127.1.0.1:8080"],"domain":"one","revision":3}
+#pragma once
+
+#include "bth/entry/driver.h"
+#include "bth/entry/http_fields.h"
+#include "bth/entry/site.h"
+
+#include <string_view>
+
+namespace bth::entry {
+
+// The answer to a look-up of a caller at `from`. `path` is the request's target, `key` proves the
+// caller's class and may be empty.
+whole_answer answer_lookup(steering_driver& driver, const site_index& site, ipv4_address from,
+                           std::string_view path, std::string_view key);
+
+} // namespace bth::entry
--- /dev/null
+++ b/bth/entry/settings.cpp
@@ -0,0 +1,75 @@
+#include "bth/entry/settings.h"
+
+#include "bth/config/json_reader.h"
+
+#include <utility>
+
+namespace bth::entry {
+
+namespace {
+
+constexpr std::uint64_t most_connections = 1'000'000;
+constexpr std::uint64_t most_body_bytes = 1ULL << 40U;
+constexpr std::uint64_t most_header_bytes = 1ULL << 20U;
+constexpr std::uint64_t most_ms = 3'600'000;
+
+void read_limits(config::json_object& root, const config::json_document& document, findings& found,
+                 caller_limits& limits)
+{
+    const Json::Value* value = root.optional_value("limits");
+    if (value == nullptr) {
+        return;
+    }
+    config::json_object at{*value, document, found};
+    limits.header_bytes = static_cast<std::uint32_t>(
+        at.integer_or("header_bytes", 256, most_header_bytes, limits.header_bytes));
+    limits.body_bytes = at.integer_or("body_bytes", 0, most_body_bytes, limits.body_bytes);
+    limits.connections = static_cast<std::uint32_t>(
+        at.integer_or("connections", 1, most_connections, limits.connections));
+    limits.idle = std::chrono::milliseconds{
+        at.integer_or("idle_ms", 1, most_ms, static_cast<std::uint64_t>(limits.idle.count()))};
+    at.finish();
+}
+
+void read_control(config::json_object& root, findings& found, std::vector<endpoint>& control)
+{
+    for (const std::string& text : root.strings("control")) {
+        if (const auto where = parse_endpoint(text)) {
+            control.push_back(*where);
+        }
+        else {
+            found.add(root.place_of("control"), "\"" + text + "\" is no address and port",
+                      "such as 127.0.0.1:9300");
+        }
+    }
+}
+
+} // namespace
+
+tl::expected<entry_settings, findings> read_settings(std::string file, std::string text)
+{
+    findings found;
+    const auto document = config::json_document::parse(std::move(file), std::move(text), found);
+    if (!document) {
+        return tl::unexpected{found};
+    }
+    config::json_object root{document->root(), *document, found};
+    entry_settings out;
+    out.host = root.required_string("host").value_or("");
+    out.text_file = root.required_string("text_file").value_or("");
+    read_control(root, found, out.control);
+    out.data_folder = root.string_or("data_folder", "");
+    out.platform = root.optional_endpoint("platform");
+    out.admin = root.optional_endpoint("admin");
+    out.poll_interval = std::chrono::milliseconds{root.integer_or(
+        "poll_ms", 10, most_ms, static_cast<std::uint64_t>(out.poll_interval.count()))};
+    read_limits(root, *document, found, out.limits);
+    out.log = shell::read_log_settings(root, *document, found);
+    root.finish();
+    if (!found.empty()) {
+        return tl::unexpected{found};
+    }
+    return out;
+}
+
+} // namespace bth::entry
--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -334,6 +334,11 @@
     return this->self->live_to(name) != nullptr;
 }
 
+incarnation peer_link::life() const
+{
+    return this->self->settings.life;
+}
+
 std::size_t peer_link::queued_bytes(std::string_view name) const
 {
     const auto live = this->self->live_to(name);
--- a/bth/shell/peer_link.h
+++ b/bth/shell/peer_link.h
@@ -77,6 +77,8 @@
     bool send(std::string_view to, wire::frame_kind kind, wire::byte_view payload);
 
     bool connected(std::string_view name) const;
+    // The life that this process states to its peers.
+    incarnation life() const;
     // The bytes that wait to be written to a peer; 0 if it isn't connected.
     std::size_t queued_bytes(std::string_view name) const;
 
