--- a/bth/steering/internal/node_state.h
+++ b/bth/steering/internal/node_state.h
@@ -94,6 +94,8 @@
     void check(violations& found) const;
     void check_slots(const std::vector<std::uint64_t>& tries, violations& found) const;
     void check_queues(const std::vector<std::uint64_t>& waiting, violations& found) const;
+    void check_order(const std::vector<std::optional<priority_level>>& highest,
+                     violations& found) const;
     // Whether the first of the queue could have a slot now.
     bool could_serve_next(service_id service) const;
 
--- a/bth/steering/node_check.cpp
+++ b/bth/steering/node_check.cpp
@@ -1,6 +1,8 @@
 // The invariants of a node, checked over its tables.
 #include "bth/steering/internal/node_state.h"
 
+#include <algorithm>
+#include <optional>
 #include <vector>
 
 namespace bth::steering {
@@ -10,18 +12,23 @@
 struct row_counts {
     std::vector<std::uint64_t> at_target;
     std::vector<std::uint64_t> waiting;
+    // The highest level that waits, by service.
+    std::vector<std::optional<priority_level>> highest;
 };
 
 row_counts count_rows(const request_table& requests, const config::model& model)
 {
     row_counts counts{std::vector<std::uint64_t>(model.targets.size()),
-                      std::vector<std::uint64_t>(model.services.size())};
+                      std::vector<std::uint64_t>(model.services.size()),
+                      std::vector<std::optional<priority_level>>(model.services.size())};
     for (const auto& [id, row] : requests.all()) {
         if (row.target) {
             ++counts.at_target.at(row.target->index());
         }
         if (row.phase == request_phase::waiting && !row.orphaned) {
             ++counts.waiting.at(row.request.service.index());
+            auto& highest = counts.highest.at(row.request.service.index());
+            highest = std::min(highest.value_or(row.level), row.level);
         }
     }
     return counts;
@@ -40,6 +47,7 @@
     const row_counts counts = count_rows(this->requests, *this->model);
     this->check_slots(counts.at_target, found);
     this->check_queues(counts.waiting, found);
+    this->check_order(counts.highest, found);
     for (const auto& [id, row] : this->requests.all()) {
         if (row.request.hops > most_hops) {
             found.push_back(
@@ -78,6 +86,20 @@
     }
 }
 
+void node::state::check_order(const std::vector<std::optional<priority_level>>& highest,
+                              violations& found) const
+{
+    for (std::size_t index = 0; index < highest.size(); ++index) {
+        const auto service = service_id::from_index(index);
+        const auto id = this->queues.next(service);
+        const request_row* next = id ? this->requests.find(*id) : nullptr;
+        if (next != nullptr && highest.at(index) && *highest.at(index) < next->level) {
+            found.push_back({violation_kind::priority_inverted, service, next->level.value(),
+                             highest.at(index)->value()});
+        }
+    }
+}
+
 bool node::state::could_serve_next(service_id service) const
 {
     const auto id = this->queues.next(service);
