--- a/bth/steering/internal/node_state.h
+++ b/bth/steering/internal/node_state.h
@@ -5,6 +5,7 @@
 
 #include "bth/steering/admission.h"
 #include "bth/steering/demand.h"
+#include "bth/steering/dependencies.h"
 #include "bth/steering/grant_book.h"
 #include "bth/steering/grant_ledger.h"
 #include "bth/steering/node.h"
@@ -67,6 +68,8 @@
     bool place_at_target(request_row& row, time_point now, actions& out);
     // Only domains whose detour isn't longer than `detour` are asked.
     bool place_at_fallback(request_row& row, duration detour, time_point now, actions& out);
+    // Sends the request elsewhere or refuses it, if a service that it depends on can't serve here.
+    bool leave_for_dependency(request_row& row, time_point now, actions& out);
     void place_in_queue(request_row& row, time_point now, actions& out);
     // The owner of the service's targets in a fallback domain that has granted room, if any.
     std::optional<host_id> choose_fallback(const request_row& row, duration detour, time_point now);
@@ -103,6 +106,11 @@
     void apply(std::shared_ptr<const config::model> next, revision number, time_point now,
                actions& out);
     void tick(time_point now, actions& out);
+    // Whether this host owns the service's targets in its domain.
+    bool owns(service_id service, time_point now) const;
+    // Learns from the own targets which services can serve, for the services that depend on them
+    // and for heartbeats.
+    void refresh_needs(time_point now);
 
     // Ownership of targets and grants between failure domains. (granting.cpp)
     void apply_grants(const model_map* change, time_point now, actions& out);
@@ -128,6 +136,8 @@
     void check(violations& found) const;
     void check_slots(const std::vector<std::uint64_t>& tries, violations& found) const;
     void check_queues(const std::vector<std::uint64_t>& waiting, violations& found) const;
+    void check_order(const std::vector<std::optional<priority_level>>& highest,
+                     violations& found) const;
     // Whether the first of the queue could have a slot now.
     bool could_serve_next(service_id service) const;
 
@@ -143,6 +153,7 @@
     admission queues;
     retry_budget retries;
     priority_audit audit;
+    dependencies needs;
     demand_meter offered;
     ownership owners;
     grant_ledger ledger;
@@ -154,8 +165,8 @@
     std::map<service_id, former_owner> former;
     // The time of the last event.
     time_point latest;
-    // When every queue was last served.
-    time_point last_tick;
+    // When the queue of each service was last served.
+    std::vector<time_point> served;
     bool stopping{};
     time_point stop_began;
 };
--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -37,9 +37,11 @@
             this->targets.adopt(*row.target, now);
         }
     }
+    this->served.assign(this->model->services.size(), now);
     this->apply_grants(change, now, out);
     this->retries.apply(*this->model, change);
     this->audit.apply(this->model->services.size(), change);
+    this->needs.apply(*this->model, change);
     for (const waiting_request& gone : this->queues.apply(*this->model, change)) {
         this->give_up(*this->requests.find(gone.id), {refusal_reason::unknown_service}, out);
     }
@@ -48,9 +50,9 @@
 
 void node::state::tick(time_point now, actions& out)
 {
-    this->last_tick = now;
     this->targets.tick(now);
     this->tick_grants(now, out);
+    this->refresh_needs(now);
     this->serve_queues(now, out);
 }
 
@@ -61,6 +63,21 @@
     }
 }
 
+bool node::state::owns(service_id service, time_point now) const
+{
+    return this->owners.owns(service, now);
+}
+
+void node::state::refresh_needs(time_point now)
+{
+    for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
+        const auto service = service_id::from_index(index);
+        if (this->owns(service, now)) {
+            this->needs.set_able(service, this->targets.can_serve(service, now));
+        }
+    }
+}
+
 actions node::apply(std::shared_ptr<const config::model> next, revision number, clock_reading now)
 {
     actions out;
--- a/bth/steering/testing/site_group.h
+++ b/bth/steering/testing/site_group.h
@@ -268,6 +268,7 @@
 
     void act(host_id host, const actions& given)
     {
+        this->touched.insert(host);
         for (const action& each : given) {
             std::visit([&](const auto& what) { this->perform(host, what); }, each);
         }
@@ -420,8 +421,10 @@
         std::vector<usage> used(this->model->domains.size() * services);
         std::vector<double> link_bytes(this->model->links.size(), 0.0);
         for (const auto& [host, row] : this->hosts) {
-            for (const violation& each : row.core->check_invariants()) {
-                this->fail(std::string{to_string(each.kind)} + " at host", host.index());
+            if (this->touched.contains(host)) {
+                for (const violation& each : row.core->check_invariants()) {
+                    this->fail(std::string{to_string(each.kind)} + " at host", host.index());
+                }
             }
             const grant_view view = row.core->grants(this->time);
             const domain_id domain = this->model->at(host).domain;
@@ -441,6 +444,7 @@
             }
         }
         this->check_caps(used, link_bytes);
+        this->touched.clear();
     }
 
     void add_link_bytes(domain_id holder, const held_grant& grant, std::vector<double>& bytes) const
@@ -513,6 +517,8 @@
     std::map<request_id, arrival> arrivals;
     std::map<request_id, origin> origins;
     std::map<request_id, time_point> began;
+    // The hosts that had an event since the last check.
+    std::set<host_id> touched;
     std::string broken;
 };
 
