--- /dev/null
+++ b/bth/steering/grant_ledger_test.cpp
@@ -0,0 +1,205 @@
+#include "bth/steering/grant_ledger.h"
+
+#include "bth/steering/testing/small_site.h"
+
+#include <chrono>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace bth;
+using namespace bth::steering;
+using namespace std::chrono_literals;
+
+constexpr service_id web{0};
+constexpr domain_id domain_a{0};
+constexpr region_id far_region{1};
+
+} // namespace
+
+// The part of "web" in domain "a" is 12 in flight and 1333 requests per second.
+// clang-format off
+TEST_GROUP(grant_ledger)
+{
+    std::shared_ptr<const config::model> model{testing::small_site()};
+    time_point now{10s};
+    grant_ledger ledger;
+    granting_state state;
+    host_id b1;
+    host_id c1;
+    std::uint64_t sequence{};
+
+    void setup() override
+    {
+        this->b1 = *config::find_host(*this->model, "b1");
+        this->c1 = *config::find_host(*this->model, "c1");
+        this->ledger.apply(this->model, domain_a, nullptr, this->now);
+        this->state.owned_until = this->now + 60s;
+        this->state.usable_slots = 12;
+        this->state.service_time = 5ms;
+    }
+    void teardown() override { this->check_caps(); }
+
+    void check_caps()
+    {
+        for (const ledger_use& each : this->ledger.use(this->now)) {
+            CHECK_TRUE(each.own_in_flight + each.granted_in_flight <= each.cap.in_flight);
+            CHECK_TRUE((each.own_rate + each.granted_rate).value() <=
+                       each.cap.rate.value() * (1.0 + 1e-9));
+            for (std::size_t at = 0; at < each.granted_bytes.size(); ++at) {
+                CHECK_TRUE(each.granted_bytes.at(at).answer_bytes <=
+                           each.link_cap.at(at).answer_bytes * (1.0 + 1e-9));
+            }
+        }
+    }
+    capacity_grant ask(host_id from, std::uint32_t slots, double rate, std::uint8_t level = 0)
+    {
+        grant_request request;
+        request.source = this->model->at(from).domain;
+        request.life = incarnation{1};
+        request.sequence = ++this->sequence;
+        request.services = {{web, {{priority_level{level}, request_rate{rate}, slots}}}};
+        auto grant = this->ledger.answer(from, request, {this->state}, this->now);
+        this->check_caps();
+        return grant;
+    }
+    std::uint32_t granted() { return this->ledger.use(this->now).front().granted_in_flight; }
+};
+// clang-format on
+
+TEST(grant_ledger, room_counts_from_when_it_is_promised_not_from_when_it_is_used)
+{
+    CHECK_EQUAL(8, ask(b1, 8, 400.0).rooms.front().in_flight);
+    CHECK_EQUAL(4, ask(c1, 8, 400.0).rooms.front().in_flight);
+    CHECK_EQUAL(12, granted());
+    CHECK_FALSE(ledger.try_start(web, std::nullopt, now));
+}
+
+TEST(grant_ledger, a_larger_earlier_grant_stays_outstanding_until_its_lease_is_over)
+{
+    ask(b1, 8, 400.0);
+    now += 300ms;
+    CHECK_EQUAL(2, ask(b1, 2, 100.0).rooms.front().in_flight);
+    CHECK_EQUAL(8, granted());
+    CHECK_EQUAL(4, ask(c1, 12, 100.0).rooms.front().in_flight);
+    now += 800ms;
+    CHECK_EQUAL(6, granted());
+}
+
+TEST(grant_ledger, the_granter_counts_a_lease_longer_than_the_holder_may_use_it)
+{
+    const auto grant = ask(b1, 3, 100.0);
+    now += grant.lease;
+    CHECK_EQUAL(3, granted());
+    now += 50ms;
+    CHECK_EQUAL(0, granted());
+}
+
+TEST(grant_ledger, no_grant_outlives_the_ownership_lease)
+{
+    state.owned_until = now + 400ms;
+    const auto grant = ask(b1, 3, 100.0);
+    CHECK_TRUE(grant.lease < 400ms);
+    now += 400ms;
+    CHECK_EQUAL(0, granted());
+}
+
+TEST(grant_ledger, a_host_that_owns_nothing_grants_nothing_and_names_the_owner)
+{
+    state.owned_until = time_point::min();
+    state.owner = host_id{1};
+    const auto grant = ask(b1, 3, 100.0);
+    CHECK_EQUAL(0, grant.rooms.size());
+    CHECK_TRUE(grant.elsewhere.front().owner == host_id{1});
+    CHECK_EQUAL(0, granted());
+}
+
+TEST(grant_ledger, what_own_callers_hold_is_not_granted)
+{
+    for (int count = 0; count < 9; ++count) {
+        CHECK_TRUE(ledger.try_start(web, std::nullopt, now));
+    }
+    CHECK_EQUAL(3, ask(b1, 8, 400.0).rooms.front().in_flight);
+    CHECK_FALSE(ledger.try_start(web, std::nullopt, now));
+    ledger.finish(web, std::nullopt);
+    CHECK_TRUE(ledger.try_start(web, std::nullopt, now));
+}
+
+TEST(grant_ledger, own_callers_of_the_same_priority_come_first)
+{
+    state.own_demand = {{priority_level{0}, request_rate{1200.0}}};
+    // 1200 requests of 5 ms, and the error of the measurement, need 9 slots of 12.
+    CHECK_EQUAL(3, ask(b1, 12, 400.0).rooms.front().in_flight);
+    now += 2s;
+    state.own_demand = {{priority_level{2}, request_rate{1200.0}}};
+    CHECK_EQUAL(12, ask(b1, 12, 400.0).rooms.front().in_flight);
+}
+
+TEST(grant_ledger, the_most_urgent_demand_of_all_sources_comes_first_when_room_is_short)
+{
+    ask(c1, 10, 300.0, 0);
+    ask(b1, 10, 300.0, 2);
+    now += 2s;
+    CHECK_EQUAL(10, ask(c1, 10, 300.0, 0).rooms.front().in_flight);
+    CHECK_EQUAL(2, ask(b1, 10, 300.0, 2).rooms.front().in_flight);
+}
+
+TEST(grant_ledger, sources_of_one_priority_share_what_is_short)
+{
+    ask(c1, 12, 400.0);
+    ask(b1, 12, 400.0);
+    for (int round = 0; round < 4; ++round) {
+        now += 400ms;
+        ask(c1, 12, 400.0);
+        ask(b1, 12, 400.0);
+    }
+    const auto last = ask(b1, 12, 400.0);
+    CHECK_EQUAL(6, last.rooms.front().in_flight);
+}
+
+TEST(grant_ledger, a_forwarded_request_draws_on_a_live_grant_within_its_rate)
+{
+    CHECK_FALSE(ledger.draw(web, b1, now));
+    ask(b1, 4, 20.0);
+    int passed = 0;
+    for (int count = 0; count < 100; ++count) {
+        passed += ledger.draw(web, b1, now) ? 1 : 0;
+    }
+    CHECK_EQUAL(3, passed);
+    now += 500ms;
+    CHECK_TRUE(ledger.draw(web, b1, now));
+    now += 1s;
+    CHECK_FALSE(ledger.draw(web, b1, now));
+}
+
+TEST(grant_ledger, a_grant_fits_the_links_between_the_regions)
+{
+    const limits parts{*model, domain_a};
+    const double bytes = parts.link(web, far_region).answer_bytes.value();
+    const auto grant = ask(c1, 12, 1300.0);
+    const double most = bytes / static_cast<double>(model->at(web).answer_bytes);
+    CHECK_TRUE(grant.rooms.front().rate.value() <= most);
+    CHECK_TRUE(ask(b1, 0, 0.0).rooms.front().answer_bytes.value() == 0.0);
+}
+
+TEST(grant_ledger, grants_that_were_handed_over_are_outstanding_at_the_new_owner)
+{
+    ask(b1, 8, 400.0);
+    grant_ledger next;
+    next.apply(model, domain_a, nullptr, now);
+    next.take_over(web, ledger.outstanding(web, now), now);
+    CHECK_EQUAL(8, next.use(now).front().granted_in_flight);
+    CHECK_TRUE(next.draw(web, b1, now));
+    next.set_handed(web, 4);
+    CHECK_FALSE(next.try_start(web, std::nullopt, now));
+    CHECK_TRUE(next.try_start(web, b1, now));
+}
+
+TEST(grant_ledger, a_request_that_is_older_than_the_latest_changes_nothing)
+{
+    ask(b1, 2, 100.0);
+    sequence = 0;
+    ask(b1, 8, 400.0);
+    CHECK_EQUAL(2, granted());
+}
