--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -37,6 +37,7 @@
             this->targets.adopt(*row.target, now);
         }
     }
+    this->served.assign(this->model->services.size(), now);
     this->apply_grants(change, now, out);
     this->retries.apply(*this->model, change);
     this->audit.apply(this->model->services.size(), change);
@@ -108,6 +109,7 @@
     actions out;
     this->self->latest = now;
     this->self->receive_grants(from, message, now, out);
+    this->self->serve_queues(now, out);
     return out;
 }
 
@@ -118,6 +120,7 @@
     this->self->cancel_forwarded_by(peer, now, out);
     this->self->book.peer_lost(peer);
     this->self->drop_busy_of(peer);
+    this->self->serve_queues(now, out);
     return out;
 }
 
