--- a/bth/steering/flow.cpp
+++ b/bth/steering/flow.cpp
@@ -35,6 +35,9 @@
         return;
     }
     this->place(row, now, out);
+    // Tokens may have come since the queue was last served, and once a request waits, a slower
+    // target may be worth taking.
+    this->serve_queue(request.service, now, out);
 }
 
 std::optional<refusal> node::state::check_ready(const arrival& request) const
