--- a/bth/control/edit_service.h
+++ b/bth/control/edit_service.h
@@ -20,6 +20,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -65,8 +66,12 @@
 template <proposer Proposer>
 class edit_service : public std::enable_shared_from_this<edit_service<Proposer>> {
 public:
+    // Adds to a status what the acceptance path doesn't know.
+    using status_completion = std::function<void(control_status&)>;
+
     // `decider` outlives the service. Edits that come in here carry `ids_kept`.
-    edit_service(Proposer& decider, std::uint32_t ids_kept) : decider{&decider}, ids_kept{ids_kept}
+    edit_service(Proposer& decider, std::uint32_t ids_kept, status_completion complete = {})
+        : decider{&decider}, ids_kept{ids_kept}, complete{std::move(complete)}
     {}
 
     // A handler that keeps the service alive.
@@ -82,41 +87,59 @@
 
     response handle(shell::http_request request)
     {
-        using boost::beast::http::status;
         using boost::beast::http::verb;
         const std::string path = path_of(request);
-        const bool decided_by_leader = path == "/edits" || path == "/text" || path == "/members";
         if constexpr (replicated<Proposer>) {
+            const bool decided_by_leader =
+                path == "/edits" || path == "/text" || path == "/members";
             const auto leader = this->decider->leader_http();
             if (decided_by_leader && leader && request[forwarded_header].empty()) {
-                co_return co_await this->forward(std::move(request), *leader);
+                return this->forward(std::move(request), *leader);
             }
             if (request.method() == verb::post && path == "/members") {
-                co_return co_await this->change_member(std::move(request));
+                return this->change_member(std::move(request));
             }
         }
         if (request.method() == verb::post && path == "/edits") {
-            co_return co_await this->decide(std::move(request));
+            return this->decide(std::move(request));
         }
         if (request.method() == verb::get && path == "/text") {
-            co_return co_await this->text(std::move(request));
+            return this->text(std::move(request));
         }
-        if (request.method() == verb::get && path == "/status") {
+        return this->page(std::move(request));
+    }
+
+    // The pages that this host answers by itself.
+    response page(shell::http_request request)
+    {
+        using boost::beast::http::status;
+        const std::string path =
+            request.method() == boost::beast::http::verb::get ? path_of(request) : "";
+        if (path == "/status") {
             co_return shell::make_response(request, status::ok, "application/json",
-                                           status_json(this->decider->status()));
+                                           status_json(this->status()));
         }
-        if (request.method() == verb::get && path == "/") {
+        if (path == "/") {
             co_return shell::make_response(request, status::ok, "text/html",
-                                           status_html(this->decider->status()));
+                                           status_html(this->status()));
         }
-        if (request.method() == verb::get && path == "/metrics") {
-            this->metrics.show(this->decider->status());
+        if (path == "/metrics") {
+            this->metrics.show(this->status());
             co_return shell::make_response(request, status::ok, "text/plain; version=0.0.4",
                                            this->metrics.text());
         }
         co_return unknown_path_response(request);
     }
 
+    control_status status() const
+    {
+        control_status known = this->decider->status();
+        if (this->complete) {
+            this->complete(known);
+        }
+        return known;
+    }
+
     response decide(shell::http_request request)
     {
         auto one = read_edit_request(std::move(request.body()), this->ids_kept);
@@ -174,6 +197,7 @@
 
     Proposer* decider;
     std::uint32_t ids_kept;
+    status_completion complete;
     control_metrics metrics;
 };
 
--- a/bth/control/main.cpp
+++ b/bth/control/main.cpp
@@ -1,4 +1,5 @@
 // bth-control: accepts the operators' edits.
+#include "bth/control/config_feed.h"
 #include "bth/control/edit_service.h"
 #include "bth/control/local_proposer.h"
 #include "bth/control/replicated_proposer.h"
@@ -32,7 +33,7 @@
     return bth::shell::fail_start(program, why);
 }
 
-// A later life of a process has a larger value: the wall time at its start.
+// A later life of a host has a larger value: the wall time at its start.
 bth::incarnation new_life()
 {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
@@ -40,27 +41,47 @@
     return bth::incarnation{static_cast<std::uint64_t>(us)};
 }
 
-std::vector<bth::shell::peer_address> peers_of(const control_settings& settings)
+std::vector<bth::shell::peer_address> other_peers(const control_settings& settings)
 {
     std::vector<bth::shell::peer_address> peers;
-    for (const auto& each : settings.members) {
-        peers.push_back({each.host, each.peer});
+    for (const bth::control::control_member& each : settings.members) {
+        if (each.host != settings.host) {
+            peers.push_back({each.host, each.peer});
+        }
     }
     return peers;
 }
 
-// Answers operators until a signal to stop; requests under way are finished.
+std::shared_ptr<bth::shell::peer_link> make_link(boost::asio::io_context& context,
+                                                 const control_settings& settings)
+{
+    const bth::shell::peer_link_settings own{settings.host, new_life()};
+    return std::make_shared<bth::shell::peer_link>(context.get_executor(), own);
+}
+
+// Answers operators and feeds the distribution until a signal to stop; requests under way are
+// finished.
 template <class Proposer>
 int serve(boost::asio::io_context& context, const control_settings& settings, Proposer& decider,
-          const std::function<void()>& on_stop)
+          const std::shared_ptr<bth::shell::peer_link>& link, const std::function<void()>& on_stop)
 {
     auto acceptor = bth::shell::listen_on(context.get_executor(), settings.http);
     if (!acceptor) {
         return fail(acceptor.error());
     }
     const auto log = log4cplus::Logger::getInstance("control");
-    const auto service =
-        std::make_shared<bth::control::edit_service<Proposer>>(decider, settings.ids_kept);
+    const auto feed = std::make_shared<bth::control::config_feed<Proposer>>(
+        context, decider,
+        std::make_shared<bth::distribution::publisher_driver>(context, link,
+                                                              other_peers(settings)));
+    feed->start();
+    if (const auto listening = link->listen(settings.peer); !listening) {
+        return fail(listening.error());
+    }
+    link->set_peers(other_peers(settings));
+    const auto service = std::make_shared<bth::control::edit_service<Proposer>>(
+        decider, settings.ids_kept,
+        [feed](bth::control::control_status& status) { feed->complete(status); });
     const auto server =
         std::make_shared<bth::shell::http_server>(std::move(*acceptor), service->handler());
     server->start();
@@ -68,6 +89,8 @@
         LOG4CPLUS_INFO(log, "Stopping.");
         server->stop();
         on_stop();
+        feed->stop();
+        link->stop();
     });
     LOG4CPLUS_INFO(log, "Listening on " << bth::to_string(settings.http) << " with version "
                                         << decider.status().version.value() << ".");
@@ -83,7 +106,7 @@
     if (!decider) {
         return fail(decider.error());
     }
-    return serve(context, settings, *decider, [] {});
+    return serve(context, settings, *decider, make_link(context, settings), [] {});
 }
 
 int serve_in_group(const control_settings& settings, bool found)
@@ -93,17 +116,9 @@
     if (!decider) {
         return fail(decider.error());
     }
-    const auto link = std::make_shared<bth::shell::peer_link>(
-        context.get_executor(), bth::shell::peer_link_settings{settings.host, new_life()});
+    const auto link = make_link(context, settings);
     (*decider)->start(link);
-    if (const auto listening = link->listen(settings.peer); !listening) {
-        return fail(listening.error());
-    }
-    link->set_peers(peers_of(settings));
-    return serve(context, settings, **decider, [&] {
-        (*decider)->stop();
-        link->stop();
-    });
+    return serve(context, settings, **decider, link, [&] { (*decider)->stop(); });
 }
 
 int run(const std::string& settings_file, bool found)
--- a/bth/steering/internal/node_state.h
+++ b/bth/steering/internal/node_state.h
@@ -79,6 +79,8 @@
     // Gives free slots to the requests that wait for them, and final answers to those that can't
     // be served in time any more.
     void serve_queue(service_id service, time_point now, actions& out);
+    void clear_queue(service_id service, time_point now, actions& out);
+    void serve_queues(time_point now, actions& out);
     // Refuses a request for lack of room, with a time to come back that follows from the state.
     void refuse_for_lack(request_row& row, refusal_reason reason, time_point now, actions& out);
 
@@ -135,6 +137,8 @@
     void check(violations& found) const;
     void check_slots(const std::vector<std::uint64_t>& tries, violations& found) const;
     void check_queues(const std::vector<std::uint64_t>& waiting, violations& found) const;
+    void check_order(const std::vector<std::optional<priority_level>>& highest,
+                     violations& found) const;
     // Whether the first of the queue could have a slot now.
     bool could_serve_next(service_id service) const;
 
@@ -162,6 +166,8 @@
     std::map<service_id, former_owner> former;
     // The time of the last event.
     time_point latest;
+    // When the queue of each service was last served.
+    std::vector<time_point> served;
     bool stopping{};
     time_point stop_began;
 };
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -69,7 +69,7 @@
                         "members": [{"name": each["name"], "peer": each["peer"]}
                                     for each in members],
                         "log": {"file": str(self.folder / f"{row['name']}.log")}}
-            self.start(row["name"], BINARIES / "bth-control",
+            self.start(row["name"], BINARIES / "bth-control", "--settings",
                        self.settings_file(row["name"], settings))
 
     def start_targets(self):
@@ -90,7 +90,7 @@
                         "data_folder": str(data), "platform": platform,
                         "admin": f"127.{self.net}.0.{101 + number}:8071",
                         "log": {"file": str(self.folder / f"{row['name']}.log")}}
-            self.start(row["name"], BINARIES / "bth-entry",
+            self.start(row["name"], BINARIES / "bth-entry", "--settings",
                        self.settings_file(row["name"], settings))
         return control
 
