--- a/bth/consensus/replica_election.cpp
+++ b/bth/consensus/replica_election.cpp
@@ -84,7 +84,16 @@
         return;
     }
     if (request.pre) {
-        const bool granted = request.term > this->state.term && this->up_to_date(request);
+        // Of two with equal logs that ask each other at once, the one with the smaller name goes
+        // on.
+        const bool rival = this->role == replica_role::candidate && this->self < from &&
+                           request.last_index == this->log.last() &&
+                           request.last_term == this->log.last_term();
+        const bool granted = request.term > this->state.term && this->up_to_date(request) && !rival;
+        if (granted) {
+            // Its election has this long before one of our own would split the votes.
+            this->election_due = std::max(this->election_due, now + this->options.retry_least);
+        }
         const auto term = granted ? request.term : this->state.term;
         this->send(from, vote_answer{term, true, granted});
         return;
--- a/bth/consensus/testing/fake_group.cpp
+++ b/bth/consensus/testing/fake_group.cpp
@@ -104,9 +104,7 @@
     }
     const int copies = this->chance(this->conduct.doubled) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-        const auto spread = this->conduct.most_delay - this->conduct.least_delay;
-        auto delay = this->conduct.least_delay + this->sync_delay +
-                     duration{this->up_to(static_cast<std::uint64_t>(spread.count()))};
+        auto delay = this->any_delay(from, *to) + this->sync_delay;
         if (this->chance(this->conduct.late)) {
             delay +=
                 duration{this->up_to(static_cast<std::uint64_t>(this->conduct.late_by.count()))};
@@ -115,6 +113,17 @@
     }
 }
 
+duration fake_group::any_delay(std::size_t from, std::size_t to)
+{
+    if (!this->regions.empty()) {
+        const bool near = this->regions.at(from) == this->regions.at(to);
+        return near ? this->conduct.least_delay : this->conduct.most_delay;
+    }
+    const auto spread = this->conduct.most_delay - this->conduct.least_delay;
+    return this->conduct.least_delay +
+           duration{this->up_to(static_cast<std::uint64_t>(spread.count()))};
+}
+
 void fake_group::deliver(std::size_t index, const envelope& sent)
 {
     auto& each = this->hosts.at(index);
--- a/bth/consensus/testing/fake_group.h
+++ b/bth/consensus/testing/fake_group.h
@@ -84,9 +84,14 @@
     void violation(std::string what) { this->found.push_back(std::move(what)); }
 
     network_conduct conduct;
+    // The region of each host, if any: messages between regions then take most_delay, and those
+    // within one take least_delay.
+    std::vector<std::size_t> regions;
     std::uint64_t log_bytes{2000};
+    // What a sync takes, before the messages that wait for it leave.
     duration sync_delay{};
     std::size_t messages_sent{};
+    // Without the frame around each message.
     std::size_t bytes_sent{};
     std::mt19937_64 generator;
 
@@ -114,6 +119,7 @@
     void tick(std::size_t index);
     void deliver(std::size_t index, const envelope& sent);
     void send(std::size_t from, const envelope& sent);
+    duration any_delay(std::size_t from, std::size_t to);
     template <class Step>
     void step(std::size_t index, Step action);
     void collect(std::size_t index);
