--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -55,22 +55,21 @@
                     sys.exit(f"demo: {name} did not start: {error}")
 
     def control_hosts(self):
-        return [{"name": f"control-{number}", "http": f"127.{self.net}.0.{number}:8070",
+        return [{"host": f"control-{number}", "http": f"127.{self.net}.0.{number}:8070",
                  "peer": f"127.{self.net}.0.{number}:9070"}
                 for number in range(1, CONTROL_COUNT + 1)]
 
     def start_control(self):
         members = self.control_hosts()
         for row in members:
-            data = self.folder / row["name"]
+            data = self.folder / row["host"]
             data.mkdir()
-            settings = {"host": row["name"], "data_folder": str(data), "http": row["http"],
+            settings = {"host": row["host"], "data_folder": str(data), "http": row["http"],
                         "peer": row["peer"],
-                        "members": [{"name": each["name"], "peer": each["peer"]}
-                                    for each in members],
-                        "log": {"file": str(self.folder / f"{row['name']}.log")}}
-            self.start(row["name"], BINARIES / "bth-control", "--settings",
-                       self.settings_file(row["name"], settings))
+                        "members": members,
+                        "log": {"file": str(self.folder / f"{row['host']}.log")}}
+            self.start(row["host"], BINARIES / "bth-control", "--settings",
+                       self.settings_file(row["host"], settings))
 
     def start_targets(self):
         platform = f"127.{self.net}.0.90:6000"
