--- a/bth/bench/event_queue.h
+++ b/bth/bench/event_queue.h
@@ -14,7 +14,7 @@
 namespace bth::bench {
 
 enum class event_kind : std::uint8_t {
-    caller_next,    // subject: generator
+    caller_next,    // subject: generator, detail: whether it only begins
     host_arrival,   // subject: visit
     host_message,   // subject: message in flight
     host_tick,      // subject: host
--- a/bth/bench/internal/world_constants.h
+++ b/bth/bench/internal/world_constants.h
@@ -26,6 +26,8 @@
 inline constexpr duration caller_patience = std::chrono::milliseconds{500};
 // How often callers without load look whether there is some.
 inline constexpr duration idle_interval = std::chrono::milliseconds{50};
+// The detail of a caller_next that only draws the time of the first request.
+inline constexpr std::uint32_t begins = 1;
 // Entry hosts that a caller tries to connect to for one request.
 inline constexpr std::uint32_t most_hosts_tried = 4;
 
--- a/bth/bench/internal/world_faults.h
+++ b/bth/bench/internal/world_faults.h
@@ -4,6 +4,7 @@
 #include "bth/bench/world.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace bth::bench {
@@ -38,6 +39,9 @@
     const auto target = target_id::from_index(what.subject);
     const auto region = region_id::from_index(what.subject);
     const auto other = region_id::from_index(static_cast<std::size_t>(std::max(what.value, 0.0)));
+    this->say([&] {
+        return "change: " + std::string{to_string(what.kind)} + " " + std::to_string(what.subject);
+    });
     switch (what.kind) {
     case change_kind::domain_load:
         this->load.at(what.subject) = what.value;
--- a/bth/bench/internal/world_hosts.h
+++ b/bth/bench/internal/world_hosts.h
@@ -89,6 +89,10 @@
     attempt.over = true;
     visit.attempt = no_row;
     visit.waiting_since = this->now;
+    this->say_of(visit.request, [&] {
+        return this->model.at(visit.host).name + " sees the try " +
+               std::string{outcome_name(attempt.result.outcome)};
+    });
     if (attempt.result.outcome == steering::try_outcome::answered) {
         const std::uint32_t row = attempt.visit;
         this->end_visit(row, attempt.result.shed ? final_state::lost : final_state::served);
@@ -280,6 +284,7 @@
     host_row& host = this->hosts[id.index()];
     host.model = this->drained_model;
     host.number = revision{2};
+    this->say([&] { return this->model.at(id).name + " takes the operators' new text"; });
     for (const config::drain& each : host.model->drains) {
         const auto* domain = std::get_if<domain_id>(&each.subject);
         if (domain != nullptr && *domain == this->domain_of(id)) {
@@ -344,6 +349,9 @@
         this->model.at(request.service).priority.at(request.caller_class.index());
     this->checks.admitted(host, request.service, level, this->visits[visit].waiting_since,
                           this->now);
+    this->say_of(this->visits[visit].request, [&] {
+        return this->model.at(host).name + " sends it to " + this->model.at(what.target).name;
+    });
     const std::uint32_t index = this->new_attempt(visit, what.deadline);
     this->attempts[index].target = what.target;
     this->attempts[index].target_life = target.life;
@@ -359,6 +367,9 @@
     }
     const auto visit = static_cast<std::uint32_t>(what.id.value());
     const std::uint32_t request = this->visits[visit].request;
+    this->say_of(request, [&] {
+        return this->model.at(host).name + " forwards it to " + this->model.at(what.host).name;
+    });
     const bool crosses = this->domain_of(host) != this->domain_of(what.host);
     const std::uint32_t index = this->new_attempt(visit, what.deadline);
     const auto there = static_cast<std::uint32_t>(this->visits.size());
@@ -389,6 +400,13 @@
         this->model.at(request.service).priority.at(request.caller_class.index());
     this->checks.refused(host, request.service, level, what.reason, this->now);
     visit.refusal = what;
+    this->say_of(visit.request, [&] {
+        const auto wait =
+            std::chrono::duration_cast<std::chrono::milliseconds>(what.retry_after).count();
+        return this->model.at(host).name + " refuses it: " + std::string{to_string(what.reason)} +
+               ", run " + std::string{to_string(what.run)} + ", come back in " +
+               std::to_string(wait) + " ms";
+    });
     this->end_visit(static_cast<std::uint32_t>(what.id.value()), final_state::refused);
 }
 
@@ -428,9 +446,11 @@
 template <decider Decider>
 void world<Decider>::act(host_id host, const steering::count_retry& what)
 {
-    (void)host;
-    (void)what;
     ++this->measured.retries;
+    this->say_of(this->visits[what.id.index()].request, [&] {
+        return this->model.at(host).name +
+               " tries it again: " + std::string{to_string(what.reason)};
+    });
 }
 
 } // namespace bth::bench
--- a/bth/bench/internal/world_targets.h
+++ b/bth/bench/internal/world_targets.h
@@ -61,6 +61,8 @@
     const domain_id domain = this->model.at(id).domain;
     this->checks.started(domain, request.service, request.home);
     ++this->measured.runs;
+    this->say_of(this->visits[this->attempts[index].visit].request,
+                 [&] { return this->model.at(id).name + " begins to run it"; });
     ++request.runs;
     if (!request.repeatable && request.runs > 1) {
         this->checks.broken(rule::one_run, this->now, this->model.at(id).name);
--- a/bth/bench/outcome.cpp
+++ b/bth/bench/outcome.cpp
@@ -14,6 +14,13 @@
 
 } // namespace
 
+std::string_view outcome_name(steering::try_outcome which)
+{
+    static constexpr std::array<std::string_view, 6> names{
+        "answered", "not run", "without a connection", "broken", "timed out", "cancelled"};
+    return names.at(static_cast<std::size_t>(which));
+}
+
 std::uint64_t outcome::offered() const
 {
     return std::accumulate(
--- a/bth/bench/outcome.h
+++ b/bth/bench/outcome.h
@@ -4,14 +4,19 @@
 #include "bth/base/reason.h"
 #include "bth/bench/audit.h"
 #include "bth/bench/histogram.h"
+#include "bth/steering/events.h"
 
 #include <array>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bth::bench {
 
+// A name for the lines of a session.
+std::string_view outcome_name(steering::try_outcome which);
+
 struct class_outcome {
     // Requests that callers made while it was measured, resends left out.
     std::uint64_t offered{};
--- a/bth/bench/scenario.cpp
+++ b/bth/bench/scenario.cpp
@@ -97,7 +97,8 @@
 run_plan silent_minute(const config::model& model)
 {
     constexpr duration silent_until = disturbed_from + seconds{60};
-    run_plan plan = plan_of("silent_minute", usual_load);
+    constexpr double lighter_load = 0.4;
+    run_plan plan = plan_of("silent_minute", lighter_load);
     plan.length = silent_until + seconds{4};
     plan.changes.push_back({disturbed_from, change_kind::platform_silence, 0, 1});
     plan.changes.push_back({silent_until, change_kind::platform_silence, 0, 0});
--- a/bth/bench/targets.h
+++ b/bth/bench/targets.h
@@ -8,7 +8,10 @@
 #include "bth/bench/plan.h"
 #include "bth/bench/site.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bth::bench {
@@ -29,7 +32,14 @@
     double best_top_class{};
 };
 
+// The kinds of bounds. Each is a test of its own for each scenario.
+enum class bound : std::uint8_t { rules, served, top_class, p99 };
+inline constexpr std::size_t bound_count = 4;
+
+std::string_view to_string(bound which);
+
 struct missed_target {
+    bound which{bound::rules};
     std::string target;
     std::string seen;
 };
--- a/bth/bench/world.h
+++ b/bth/bench/world.h
@@ -62,16 +62,22 @@
     void handle(const event& what);
     std::optional<host_id> host_of(const event& what) const;
     clock_reading clocks() const;
-    void say(const std::string& line);
+    // Tells the observer a line, made only if there is one, from the warm-up on.
+    template <class Line>
+    void say(Line line);
+    template <class Line>
+    void say_of(std::uint32_t request, Line line);
+    std::string describe(const request_row& row) const;
 
     // Callers.
-    void caller_next(std::uint32_t index);
+    void caller_next(std::uint32_t index, bool send);
     std::uint32_t make_request(const generator& from, std::uint32_t cache, bool external,
                                time_point deadline);
     void send_request(std::uint32_t request);
     void refresh(generator& from, cached_lookup& cache);
     std::optional<host_id> any_host(domain_id home) const;
     void connect_failed(std::uint32_t visit);
+    void put_last(const request_row& row, host_id host);
     void caller_limit(std::uint32_t request);
     void finish_request(std::uint32_t request, final_state state, const steering::refuse* refusal);
     void resend(std::uint32_t request);
