--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -37,6 +37,7 @@
             this->targets.adopt(*row.target, now);
         }
     }
+    this->served.assign(this->model->services.size(), now);
     this->apply_grants(change, now, out);
     this->retries.apply(*this->model, change);
     this->audit.apply(this->model->services.size(), change);
@@ -52,6 +53,11 @@
     this->targets.tick(now);
     this->tick_grants(now, out);
     this->refresh_needs(now);
+    this->serve_queues(now, out);
+}
+
+void node::state::serve_queues(time_point now, actions& out)
+{
     for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
         this->serve_queue(service_id::from_index(index), now, out);
     }
@@ -103,6 +109,7 @@
     actions out;
     this->self->latest = now;
     this->self->receive_grants(from, message, now, out);
+    this->self->serve_queues(now, out);
     return out;
 }
 
@@ -113,6 +120,7 @@
     this->self->cancel_forwarded_by(peer, now, out);
     this->self->book.peer_lost(peer);
     this->self->drop_busy_of(peer);
+    this->self->serve_queues(now, out);
     return out;
 }
 
@@ -121,7 +129,8 @@
     actions out;
     this->self->latest = now;
     this->self->targets.report(report, now);
-    this->self->tick(now, out);
+    this->self->refresh_needs(now);
+    this->self->serve_queues(now, out);
     return out;
 }
 
