--- a/bth/control/edit_service.h
+++ b/bth/control/edit_service.h
@@ -3,6 +3,10 @@
 //   GET  /text      the accepted text, with its version in the header Bth-Version
 //   GET  /status    what this host knows, as JSON; GET / shows it as a page
 //   GET  /metrics   counters in the text format of Prometheus
+//   POST /members   {"action": "add" or "remove", "host": NAME} changes the control hosts
+//
+// Where the acceptance path is replicated, a host that doesn't lead passes edits, reads and changes
+// of members on to the leader, once.
 //
 //   auto service = std::make_shared<edit_service<local_proposer>>(proposer, 10'000);
 //   auto server = std::make_shared<http_server>(std::move(acceptor), service->handler());
@@ -14,9 +18,11 @@
 #include "bth/control/status_page.h"
 #include "bth/shell/simple_http.h"
 
+#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -33,6 +39,30 @@
 // The path of a request without its query.
 std::string path_of(const shell::http_request& request);
 
+// Marks a request that another control host has passed on.
+inline constexpr const char* forwarded_header = "Bth-Forwarded";
+
+// The leader's answer to the request, or an error sentence.
+boost::asio::awaitable<tl::expected<shell::http_response, std::string>>
+forward_request(shell::http_request request, endpoint leader);
+
+// A change of members as operators ask for it.
+struct member_change {
+    std::string host;
+    bool add{};
+};
+std::optional<member_change> read_member_change(const std::string& body);
+
+// An acceptance path of several hosts.
+template <class Proposer>
+concept replicated = requires(Proposer& in, const Proposer& known, std::string host)
+{
+    {
+        known.leader_http()
+        } -> std::same_as<std::optional<endpoint>>;
+    in.change_member(host, true);
+};
+
 template <proposer Proposer>
 class edit_service : public std::enable_shared_from_this<edit_service<Proposer>> {
 public:
@@ -57,24 +87,43 @@
 
     response handle(shell::http_request request)
     {
-        using boost::beast::http::status;
         using boost::beast::http::verb;
         const std::string path = path_of(request);
+        if constexpr (replicated<Proposer>) {
+            const bool decided_by_leader =
+                path == "/edits" || path == "/text" || path == "/members";
+            const auto leader = this->decider->leader_http();
+            if (decided_by_leader && leader && request[forwarded_header].empty()) {
+                return this->forward(std::move(request), *leader);
+            }
+            if (request.method() == verb::post && path == "/members") {
+                return this->change_member(std::move(request));
+            }
+        }
         if (request.method() == verb::post && path == "/edits") {
-            co_return co_await this->decide(std::move(request));
+            return this->decide(std::move(request));
         }
         if (request.method() == verb::get && path == "/text") {
-            co_return co_await this->text(std::move(request));
+            return this->text(std::move(request));
         }
-        if (request.method() == verb::get && path == "/status") {
+        return this->page(std::move(request));
+    }
+
+    // The pages that this host answers by itself.
+    response page(shell::http_request request)
+    {
+        using boost::beast::http::status;
+        const std::string path =
+            request.method() == boost::beast::http::verb::get ? path_of(request) : "";
+        if (path == "/status") {
             co_return shell::make_response(request, status::ok, "application/json",
                                            status_json(this->status()));
         }
-        if (request.method() == verb::get && path == "/") {
+        if (path == "/") {
             co_return shell::make_response(request, status::ok, "text/html",
                                            status_html(this->status()));
         }
-        if (request.method() == verb::get && path == "/metrics") {
+        if (path == "/metrics") {
             this->metrics.show(this->status());
             co_return shell::make_response(request, status::ok, "text/plain; version=0.0.4",
                                            this->metrics.text());
@@ -108,6 +157,35 @@
         co_return answer_response(request, decided->answer);
     }
 
+    response forward(shell::http_request request, endpoint leader)
+    {
+        auto answer = co_await forward_request(request, leader);
+        if (answer) {
+            co_return std::move(*answer);
+        }
+        const bool get = request.method() == boost::beast::http::verb::get;
+        const proposal_failure failure{proposal_failure_reason::no_leader,
+                                       get ? run_state::no : run_state::unknown,
+                                       "the leader gave no answer: " + answer.error()};
+        this->metrics.count(failure);
+        co_return failure_response(request, "", failure);
+    }
+
+    response change_member(shell::http_request request)
+    {
+        const auto change = read_member_change(request.body());
+        if (!change) {
+            co_return shell::make_response(request, boost::beast::http::status::bad_request,
+                                           "text/plain", "expected an action and a host\n");
+        }
+        const auto done = co_await this->decider->change_member(change->host, change->add);
+        if (!done) {
+            co_return failure_response(request, "", done.error());
+        }
+        co_return shell::make_response(request, boost::beast::http::status::ok, "text/plain",
+                                       change->add ? "added as learner\n" : "removed\n");
+    }
+
     response text(shell::http_request request)
     {
         const auto read = co_await this->decider->read();
