Take bth-entry's configuration from control

Cause: an entry host read its text from a file once; an accepted edit never reached it. Ruled out: entry hosts that poll control (1,800 callers at control); accepting callers only after the first revision (they would be held; they are refused as not configured). Change: without "text_file" an entry host has its place, addresses and seeds in its settings, and an agent takes its configuration in, kept in "data_folder" where there is one. /status and /metrics tell the newest revision, the age of control's last word, whether the host is cut off, its relay, hosts that are not alive, and what was refused. A forwarded request or a peer's message before the first revision no longer finds a missing model.

--- a/bth/distribution/agent_driver.cpp
+++ b/bth/distribution/agent_driver.cpp
@@ -20,6 +20,17 @@
     return {from.name, from.life};
 }
 
+std::vector<shell::peer_address> peers_of(const config::text_table& table)
+{
+    std::vector<shell::peer_address> peers;
+    if (const auto model = config::read_table(table)) {
+        for (const config::entry_host& host : model->hosts) {
+            peers.push_back({host.name, host.peer});
+        }
+    }
+    return peers;
+}
+
 } // namespace
 
 agent_driver::agent_driver(boost::asio::io_context& context, std::shared_ptr<shell::peer_link> link,
@@ -45,6 +56,7 @@
         this->settings.durable = true;
     }
     if (stored) {
+        this->known_peers = peers_of(*stored);
         LOG4CPLUS_INFO(this->log, "The disk holds revision " << stored->at().value() << ".");
     }
     this->core = std::make_unique<membership::agent>(this->settings, std::move(stored));
--- a/bth/distribution/agent_driver.h
+++ b/bth/distribution/agent_driver.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -47,6 +48,9 @@
     tl::expected<void, std::string> start(const std::string& data_folder);
     void stop();
 
+    // The hosts of the configuration that the disk held, to connect with before it is in force.
+    const std::vector<shell::peer_address>& stored_peers() const { return this->known_peers; }
+
     membership::agent_status status() const;
     const std::vector<membership::member>& members() const { return this->core->members(); }
     const membership::replica_counters& counters() const { return this->core->counters(); }
@@ -75,6 +79,7 @@
     boost::asio::thread_pool disk_thread{1};
     boost::asio::steady_timer tick_timer;
     message_counters counted;
+    std::vector<shell::peer_address> known_peers;
     bool stopped{};
     log4cplus::Logger log{log4cplus::Logger::getInstance("distribution")};
 };
--- a/bth/entry/driver.cpp
+++ b/bth/entry/driver.cpp
@@ -39,7 +39,8 @@
 
 void steering_driver::receive(const std::string& from, const steering::peer_message& message)
 {
-    const auto host = config::find_host(this->present->model(), from);
+    const auto host =
+        this->present ? config::find_host(this->present->model(), from) : std::nullopt;
     if (host) {
         this->perform(this->core.receive(*host, message, shell::monotonic_now()));
     }
--- a/bth/entry/entry_process.cpp
+++ b/bth/entry/entry_process.cpp
@@ -53,15 +53,6 @@
 
 tl::expected<void, std::string> entry_process::start()
 {
-    auto model = this->read_model();
-    if (!model) {
-        return tl::unexpected{model.error()};
-    }
-    const auto self = config::find_host(**model, this->settings.host);
-    if (!self) {
-        return tl::unexpected{"no host \"" + this->settings.host + "\" in " +
-                              this->settings.text_file};
-    }
     this->streams->start(
         [weak = weak_from_this()](std::shared_ptr<stream_channel> channel, received_open request) {
             if (const auto process = weak.lock()) {
@@ -73,15 +64,53 @@
             this->driver.peer_lost(peer.name);
         }
     });
-    if (auto listening = this->listen((*model)->at(*self)); !listening) {
-        return listening;
+    auto started =
+        this->settings.text_file.empty() ? this->start_with_control() : this->start_with_file();
+    if (!started) {
+        return started;
     }
-    this->apply(std::move(*model), revision{1});
     asio::co_spawn(
         this->context, [self = shared_from_this()] { return self->run_ticks(); }, asio::detached);
     return {};
 }
 
+tl::expected<void, std::string> entry_process::start_with_file()
+{
+    auto model = this->read_model();
+    if (!model) {
+        return tl::unexpected{model.error()};
+    }
+    const auto self = config::find_host(**model, this->settings.host);
+    if (!self) {
+        return tl::unexpected{"no host \"" + this->settings.host + "\" in " +
+                              this->settings.text_file};
+    }
+    const config::entry_host& row = (*model)->at(*self);
+    if (auto listening = this->listen(row.http, row.peer); !listening) {
+        return listening;
+    }
+    this->apply(std::move(*model), revision{1});
+    return {};
+}
+
+// Until the first revision is in force, callers are refused as not configured.
+tl::expected<void, std::string> entry_process::start_with_control()
+{
+    this->configuration = std::make_unique<configuration_source>(
+        this->context, this->link, this->settings,
+        [this](std::shared_ptr<const config::model> model, revision number) {
+            this->apply(std::move(model), number);
+        });
+    if (auto started = this->configuration->start(); !started) {
+        return started;
+    }
+    if (auto listening = this->listen(this->settings.http, this->settings.peer); !listening) {
+        return listening;
+    }
+    this->link->set_peers(this->configuration->first_peers());
+    return {};
+}
+
 tl::expected<std::shared_ptr<const config::model>, std::string> entry_process::read_model() const
 {
     const auto text = shell::read_file(this->settings.text_file);
@@ -95,20 +124,20 @@
     return std::make_shared<const config::model>(std::move(*model));
 }
 
-tl::expected<void, std::string> entry_process::listen(const config::entry_host& self)
+tl::expected<void, std::string> entry_process::listen(const endpoint& http, const endpoint& peer)
 {
-    auto acceptor = shell::listen_on(this->context.get_executor(), self.http);
+    auto acceptor = shell::listen_on(this->context.get_executor(), http);
     if (!acceptor) {
         return tl::unexpected{acceptor.error()};
     }
-    if (auto peers = this->link->listen(self.peer); !peers) {
+    if (auto peers = this->link->listen(peer); !peers) {
         return peers;
     }
     if (auto pages = this->listen_admin(); !pages) {
         return pages;
     }
     this->callers->start(std::move(*acceptor));
-    LOG4CPLUS_INFO(this->log, "Serving callers at " << to_string(self.http) << ".");
+    LOG4CPLUS_INFO(this->log, "Serving callers at " << to_string(http) << ".");
     return {};
 }
 
@@ -157,7 +186,9 @@
                                                      received_open request)
 {
     this->metrics.count_forwarded_arrival();
-    const auto& model = this->driver.site()->model();
+    const auto site = this->driver.site();
+    const auto none = std::make_shared<const config::model>();
+    const config::model& model = site == nullptr ? *none : site->model();
     const auto from = config::find_host(model, channel->peer_name());
     const auto service = config::find_service(model, request.service);
     const auto home = config::find_domain(model, request.home);
@@ -207,8 +238,12 @@
                                            this->targets.open_connections(),
                                            this->streams->open_streams(),
                                            this->driver.is_stopping()};
+        std::string text = this->metrics.render(levels, shell::monotonic_now());
+        if (this->configuration) {
+            text += this->configuration->render_metrics();
+        }
         return shell::make_response(request, http::status::ok, "text/plain; version=0.0.4",
-                                    this->metrics.render(levels, shell::monotonic_now()));
+                                    std::move(text));
     }
     if (request.target() == "/status") {
         return shell::make_response(request, http::status::ok, "application/json",
@@ -226,7 +261,9 @@
            std::to_string(this->metrics.number().value()) + R"(,"revision_age_ms":)" +
            std::to_string(age.count()) + R"(,"in_flight":)" +
            std::to_string(this->driver.in_flight()) + R"(,"stopping":)" +
-           (this->driver.is_stopping() ? "true" : "false") + "}\n";
+           (this->driver.is_stopping() ? "true" : "false") +
+           (this->configuration ? R"(,"distribution":)" + this->configuration->status_json() : "") +
+           "}\n";
 }
 
 void entry_process::stop()
@@ -241,6 +278,9 @@
         return;
     }
     this->callers->stop();
+    if (this->configuration) {
+        this->configuration->stop();
+    }
     this->link->stop();
     this->context.stop();
     LOG4CPLUS_INFO(this->log, "Stopped.");
--- a/bth/entry/entry_process.h
+++ b/bth/entry/entry_process.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "bth/entry/caller_server.h"
+#include "bth/entry/configuration_source.h"
 #include "bth/entry/driver.h"
 #include "bth/entry/metrics.h"
 #include "bth/entry/serve.h"
@@ -35,8 +36,10 @@
     void stop();
 
 private:
+    tl::expected<void, std::string> start_with_file();
+    tl::expected<void, std::string> start_with_control();
     tl::expected<std::shared_ptr<const config::model>, std::string> read_model() const;
-    tl::expected<void, std::string> listen(const config::entry_host& self);
+    tl::expected<void, std::string> listen(const endpoint& http, const endpoint& peer);
     tl::expected<void, std::string> listen_admin();
     void apply(std::shared_ptr<const config::model> model, revision number);
     void serve_peer(std::shared_ptr<stream_channel> channel, received_open request);
@@ -57,6 +60,8 @@
     entry_services services;
     std::shared_ptr<caller_server> callers;
     std::shared_ptr<shell::http_server> admin;
+    // Only without a text file.
+    std::unique_ptr<configuration_source> configuration;
     boost::asio::steady_timer tick_timer;
     log4cplus::Logger log{log4cplus::Logger::getInstance("entry")};
 };
--- a/bth/entry/settings.cpp
+++ b/bth/entry/settings.cpp
@@ -44,6 +44,31 @@
     }
 }
 
+void read_seed(const Json::Value& value, const config::json_document& document, findings& found,
+               std::vector<seed_host>& seeds)
+{
+    config::json_object at{value, document, found};
+    seed_host row;
+    row.host = at.required_string("host").value_or("");
+    row.peer = at.required_endpoint("peer").value_or(endpoint{});
+    at.finish();
+    seeds.push_back(std::move(row));
+}
+
+// Without a text file the settings tell where the host stands.
+void read_place(config::json_object& root, const config::json_document& document, findings& found,
+                entry_settings& out)
+{
+    root.each("seeds",
+              [&](const Json::Value& value) { read_seed(value, document, found, out.seeds); });
+    if (!out.text_file.empty()) {
+        return;
+    }
+    out.failure_domain = root.required_string("failure_domain").value_or("");
+    out.http = root.required_endpoint("http").value_or(endpoint{});
+    out.peer = root.required_endpoint("peer").value_or(endpoint{});
+}
+
 } // namespace
 
 tl::expected<entry_settings, findings> read_settings(std::string file, std::string text)
@@ -56,7 +81,8 @@
     config::json_object root{document->root(), *document, found};
     entry_settings out;
     out.host = root.required_string("host").value_or("");
-    out.text_file = root.required_string("text_file").value_or("");
+    out.text_file = root.string_or("text_file", "");
+    read_place(root, *document, found, out);
     read_control(root, found, out.control);
     out.data_folder = root.string_or("data_folder", "");
     out.platform = root.optional_endpoint("platform");
--- a/bth/entry/settings.h
+++ b/bth/entry/settings.h
@@ -1,10 +1,17 @@
 // The settings of bth-entry, read from JSON with comments.
 //
 //   { "host": "entry-east-mids-1-a",        // name of this host in the operators' text
-//     "text_file": "site.json",             // the operators' text
+//     "failure_domain": "east-mids-1",      // where it stands
+//     "http": "127.11.1.1:8080",            // where callers connect
+//     "peer": "127.11.1.1:9080",            // where the other hosts connect
+//     "seeds": [{"host": "entry-east-mids-1-b", "peer": "127.11.1.2:9080"}],
+//     "data_folder": "/var/lib/bth-entry",  // keeps the configuration, optional
 //     "platform": "127.0.0.1:8200",         // the platform's list, optional
 //     "admin": "127.11.1.1:8100",           // /metrics and /status, optional
 //     "log": {"level": "INFO"} }
+//
+// With "text_file": "site.json" the host takes the operators' text from that file in place of
+// control, and its place and addresses from the text.
 #pragma once
 
 #include "bth/base/endpoint.h"
@@ -30,9 +37,21 @@
     std::chrono::milliseconds idle{30'000};
 };
 
+// A host to ask for the configuration before any is known.
+struct seed_host {
+    std::string host;
+    endpoint peer;
+};
+
 struct entry_settings {
     std::string host;
+    // The operators' text; empty if it comes from control.
     std::string text_file;
+    // Where this host stands and listens; only used without a text file.
+    std::string failure_domain;
+    endpoint http;
+    endpoint peer;
+    std::vector<seed_host> seeds;
     std::vector<endpoint> control;
     std::string data_folder;
     std::optional<endpoint> platform;
--- a/bth/membership/spread_measurement.cpp
+++ b/bth/membership/spread_measurement.cpp
@@ -185,9 +185,9 @@
         world.run_for(1ms);
     }
     const traffic& counted = world.traffic_of(host);
-    std::printf("| %d | %s | %zu | %.0f | %llu |\n", missed, keep_disk ? "kept" : "lost", blocks,
-                milliseconds_of(world.time() - start),
-                static_cast<unsigned long long>(counted.bytes_in + counted.bytes_out));
+    const std::uint64_t bytes = counted.bytes_in + counted.bytes_out;
+    std::printf("| %d | %s | %zu | %.0f | %s |\n", missed, keep_disk ? "kept" : "lost", blocks,
+                milliseconds_of(world.time() - start), std::to_string(bytes).c_str());
 }
 
 void measure_catch_up(std::size_t most_blocks)
