Let the reference with the true state lend rate, not reserved slots

And the fluid figure took a slot as busy all the time, though an exact slot idles for a way to the entry host and back.

Change: the reference moves a request if the other domain has rate left, and the request takes a slot or a place in the queue when it arrives.

--- a/bth/bench/best_assignment.cpp
+++ b/bth/bench/best_assignment.cpp
@@ -84,19 +84,23 @@
     return state;
 }
 
-double capacity_at(const config::model& model, const fluid_state& state, std::size_t domain,
+// A slot is used again when its host has heard of the answer and the next request has arrived.
+double capacity_at(const site& place, const fluid_state& state, std::size_t domain,
                    service_id service)
 {
+    const config::model& model = *place.model;
     if (state.down[domain] || state.drained[domain]) {
         return 0;
     }
     constexpr double microseconds_per_second = 1e6;
     const auto time = static_cast<double>(model.at(service).service_time.count());
+    const double between =
+        std::chrono::duration<double, std::micro>(2 * place.delay.within_domain).count();
     double sum = 0;
     for (std::size_t index = 0; index < model.targets.size(); ++index) {
         const config::target& row = model.targets[index];
         if (row.service == service && row.domain.index() == domain && !state.target_down[index]) {
-            sum += row.slots * microseconds_per_second / (time * state.slowdown[index]);
+            sum += row.slots * microseconds_per_second / (time * state.slowdown[index] + between);
         }
     }
     return sum;
@@ -170,9 +174,10 @@
 };
 
 // Solves one service; `calls` are its dependants' calls by domain, which come first.
-served_sum solve(const config::model& model, const fluid_state& state, service_id service,
+served_sum solve(const site& place, const fluid_state& state, service_id service,
                  const std::vector<double>& calls, double windows, std::vector<double>& load_at)
 {
+    const config::model& model = *place.model;
     const std::size_t domains = model.domains.size();
     std::vector<double> left(domains);
     std::vector<double> spare(domains);
@@ -181,7 +186,7 @@
     for (std::size_t home = 0; home < domains; ++home) {
         const auto id = domain_id::from_index(home);
         const double offered = full_load(model, id, service).value() * state.load[home];
-        const double free = std::max(0.0, capacity_at(model, state, home, service) - calls[home]);
+        const double free = std::max(0.0, capacity_at(place, state, home, service) - calls[home]);
         const double stays = std::min(offered, free);
         sum.offered += offered;
         sum.served += stays;
@@ -208,15 +213,16 @@
     return order;
 }
 
-served_sum solve_second(const config::model& model, const fluid_state& state, double windows)
+served_sum solve_second(const site& place, const fluid_state& state, double windows)
 {
+    const config::model& model = *place.model;
     const std::size_t domains = model.domains.size();
     matrix calls(model.services.size(), std::vector<double>(domains));
     served_sum total;
     for (const service_id service : dependants_first(model)) {
         std::vector<double> load_at(domains);
         const served_sum part =
-            solve(model, state, service, calls[service.index()], windows, load_at);
+            solve(place, state, service, calls[service.index()], windows, load_at);
         total.offered += part.offered;
         total.served += part.served;
         for (const config::dependency& each : model.at(service).depends_on) {
@@ -243,7 +249,7 @@
             std::max(0.0, std::chrono::duration<double>(at - first_change).count());
         const double windows =
             1.0 + std::floor(since / std::chrono::duration<double>(bench_shift_window).count());
-        const served_sum second = solve_second(model, state_at(model, plan, at), windows);
+        const served_sum second = solve_second(place, state_at(model, plan, at), windows);
         total.offered += second.offered;
         total.served += second.served;
     }
--- a/bth/bench/true_state.h
+++ b/bth/bench/true_state.h
@@ -1,10 +1,11 @@
 // The reference for latency: a decider that knows the true state of every target, under the same
 // caps (slots, requests in a second, shift cap). No real system can know as much: hosts share one
-// table that is right at every instant, and a place at a target is taken at once, wherever it is.
+// table that is right at every instant.
 //
-// A request takes a free place at home, else where a free place is nearer in time than the queue at
-// home; else it waits at home, higher classes first, and the lowest class is refused when the queue
-// is longer than its deadline or its limit.
+// A request takes a free place at home. If the way to another domain and back is shorter than the
+// queue at home, or the queue is full, it goes to the first fallback whose targets have rate left,
+// those on their way counted; else it waits, higher classes first, and the youngest of the lowest
+// class is refused when the queue is over its limit.
 #pragma once
 
 #include "bth/bench/decider.h"
@@ -16,7 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace bth::bench {
@@ -37,8 +38,8 @@
     std::vector<std::uint64_t> away;
     // The same by host, to free what a host held that died.
     std::map<std::pair<host_id, target_id>, std::uint32_t> taken_by;
-    // The targets for requests that are on their way from a host to another domain, in order.
-    std::map<std::tuple<host_id, domain_id, service_id>, std::deque<target_id>> promised;
+    // The same by domain and service, requests on their way there included.
+    std::map<std::pair<domain_id, service_id>, std::deque<time_point>> service_starts;
 };
 
 class true_state {
@@ -61,12 +62,15 @@
     bool rate_left(domain_id domain, time_point now);
     bool shift_left(service_id service, time_point now);
     std::optional<target_id> free_target(service_id service, domain_id domain, time_point now);
-    std::optional<target_id> free_elsewhere(const steering::arrival& request, bool queue_is_full,
+    bool service_rate_left(service_id service, domain_id domain, time_point now);
+    std::optional<domain_id> room_elsewhere(const steering::arrival& request, bool queue_is_full,
                                             time_point now);
     std::size_t queue_limit(service_id service) const;
     duration queue_wait(service_id service) const;
+    bool serves(service_id service) const;
     bool is_usable(std::size_t target) const;
-    void take(const steering::arrival& request, target_id target, time_point now);
+    void count_start(const steering::arrival& request, domain_id domain, time_point now);
+    steering::actions send_to(const steering::arrival& request, domain_id domain, time_point now);
     steering::actions place(const steering::arrival& request, target_id target, time_point now);
     steering::actions wait(const steering::arrival& request);
     void drain_queues(steering::actions& done, time_point now);
