--- a/bth/entry/entry_process.cpp
+++ b/bth/entry/entry_process.cpp
@@ -2,8 +2,10 @@
 
 #include "bth/config/text.h"
 #include "bth/entry/peer_caller.h"
+#include "bth/entry/polling.h"
 #include "bth/shell/files.h"
 #include "bth/shell/net.h"
+#include "bth/wire/steering_codec.h"
 
 #include <chrono>
 #include <utility>
@@ -43,7 +45,9 @@
                                                             this->settings.host, new_life()})},
       streams{std::make_shared<stream_hub>(context.get_executor(), this->link)},
       driver{node_settings_of(this->settings, this->link->life()), this->metrics,
-             [](const config::model&, const std::string&, const steering::peer_message&) {
+             [this](const config::model& model, const std::string& host,
+                    const steering::peer_message& message) {
+                 this->send_steering(model, host, message);
              }},
       targets{context.get_executor()}, services{context.get_executor(), this->driver, this->targets,
                                                 *this->streams, this->metrics},
@@ -68,6 +72,10 @@
                 process->serve_peer(std::move(channel), std::move(request));
             }
         });
+    this->link->on_frame(wire::frame_kind::steering,
+                         [this](const shell::peer_identity& from, wire::byte_view payload) {
+                             return this->take_steering(from.name, payload);
+                         });
     this->link->on_change([this](const shell::peer_identity& peer, bool connected) {
         if (!connected) {
             this->driver.peer_lost(peer.name);
@@ -77,6 +85,8 @@
         return listening;
     }
     this->apply(std::move(*model), revision{1});
+    std::make_shared<report_poller>(this->context.get_executor(), this->driver, this->settings)
+        ->start();
     asio::co_spawn(
         this->context, [self = shared_from_this()] { return self->run_ticks(); }, asio::detached);
     return {};
@@ -142,6 +152,29 @@
     LOG4CPLUS_INFO(this->log, "Revision " << number.value() << " is in force.");
 }
 
+void entry_process::send_steering(const config::model& model, const std::string& host,
+                                  const steering::peer_message& message)
+{
+    const wire::bytes payload = wire::encode_steering(model, message);
+    if (this->link->send(host, wire::frame_kind::steering, payload)) {
+        this->metrics.count_steering_sent(payload.size());
+    }
+}
+
+bool entry_process::take_steering(const std::string& from, wire::byte_view payload)
+{
+    const auto site = this->driver.site();
+    if (site == nullptr) {
+        return true;
+    }
+    const auto read = wire::decode_steering(site->model(), payload);
+    if (read.message) {
+        this->metrics.count_steering_received();
+        this->driver.receive(from, *read.message);
+    }
+    return read.well_formed;
+}
+
 void entry_process::serve_peer(std::shared_ptr<stream_channel> channel, received_open request)
 {
     asio::co_spawn(
@@ -176,6 +209,8 @@
     arrival.home = *home;
     arrival.forwarded_by = *from;
     arrival.repeatable = request.repeatable;
+    arrival.hops = request.hops;
+    arrival.retry = request.retry;
     arrival.deadline = shell::monotonic_now() + request.timeout;
     const request_names names{request.service, request.caller_class, request.home,
                               request.repeatable};
--- a/bth/entry/metrics.h
+++ b/bth/entry/metrics.h
@@ -31,6 +31,12 @@
     // A begun answer that was cut off because its source failed.
     void count_cut() { this->cuts->Increment(); }
     void count_lookup() { this->lookups->Increment(); }
+    void count_steering_sent(std::size_t bytes)
+    {
+        this->steering_messages->Increment();
+        this->steering_bytes->Increment(static_cast<double>(bytes));
+    }
+    void count_steering_received() { this->steering_received->Increment(); }
     void count_caller_gone() { this->callers_gone->Increment(); }
     void count_refusal(refusal_reason reason);
     void count_retry(retry_reason reason);
@@ -62,6 +68,9 @@
     prometheus::Counter* cuts;
     prometheus::Counter* lookups;
     prometheus::Counter* callers_gone;
+    prometheus::Counter* steering_messages;
+    prometheus::Counter* steering_bytes;
+    prometheus::Counter* steering_received;
     std::array<prometheus::Counter*, refusal_reason_count> refusals{};
     std::array<prometheus::Counter*, retry_reason_count> retries{};
     prometheus::Gauge* in_flight;
--- a/bth/entry/stream_hub.h
+++ b/bth/entry/stream_hub.h
@@ -46,6 +46,8 @@
     std::vector<std::pair<std::string, std::string>> fields;
     std::chrono::microseconds timeout{};
     bool repeatable{};
+    std::uint8_t hops{};
+    bool retry{};
     received_body first;
 };
 
--- a/bth/wire/stream_codec.cpp
+++ b/bth/wire/stream_codec.cpp
@@ -65,8 +65,9 @@
         const auto path = text(this->builder, in.path);
         const auto fields = fields_of(this->builder, in.fields);
         const auto body = body_of(this->builder, in.body);
-        const auto table = fbs::Createopen(this->builder, service, caller_class, home, method, path,
-                                           fields, to_us(in.timeout), in.repeatable, body, in.last);
+        const auto table =
+            fbs::Createopen(this->builder, service, caller_class, home, method, path, fields,
+                            to_us(in.timeout), in.repeatable, in.hops, in.retry, body, in.last);
         return {fbs::stream_content::open, table.Union()};
     }
     encoded_content operator()(const stream_body& in) const
@@ -159,11 +160,20 @@
 
 stream_content read_open(const fbs::open& in)
 {
-    return stream_open{view(in.service()),       view(in.caller_class()),
-                       view(in.home()),          view(in.method()),
-                       view(in.path()),          read_fields(in.fields()),
-                       from_us(in.timeout_us()), in.repeatable(),
-                       view(in.body()),          in.last()};
+    stream_open out;
+    out.service = view(in.service());
+    out.caller_class = view(in.caller_class());
+    out.home = view(in.home());
+    out.method = view(in.method());
+    out.path = view(in.path());
+    out.fields = read_fields(in.fields());
+    out.timeout = from_us(in.timeout_us());
+    out.repeatable = in.repeatable();
+    out.hops = in.hops();
+    out.retry = in.retry();
+    out.body = view(in.body());
+    out.last = in.last();
+    return out;
 }
 
 std::optional<stream_content> read_content(const fbs::stream_frame& frame)
--- a/bth/wire/stream_generated.h
+++ b/bth/wire/stream_generated.h
@@ -196,8 +196,10 @@
     VT_FIELDS = 14,
     VT_TIMEOUT_US = 16,
     VT_REPEATABLE = 18,
-    VT_BODY = 20,
-    VT_LAST = 22
+    VT_HOPS = 20,
+    VT_RETRY = 22,
+    VT_BODY = 24,
+    VT_LAST = 26
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -223,6 +225,12 @@
   bool repeatable() const {
     return GetField<uint8_t>(VT_REPEATABLE, 0) != 0;
   }
+  uint8_t hops() const {
+    return GetField<uint8_t>(VT_HOPS, 0);
+  }
+  bool retry() const {
+    return GetField<uint8_t>(VT_RETRY, 0) != 0;
+  }
   const flatbuffers::Vector<uint8_t> *body() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
   }
@@ -246,6 +254,8 @@
            verifier.VerifyVectorOfTables(fields()) &&
            VerifyField<uint64_t>(verifier, VT_TIMEOUT_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_REPEATABLE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HOPS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RETRY, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyVector(body()) &&
            VerifyField<uint8_t>(verifier, VT_LAST, 1) &&
@@ -281,6 +291,12 @@
   void add_repeatable(bool repeatable) {
     fbb_.AddElement<uint8_t>(open::VT_REPEATABLE, static_cast<uint8_t>(repeatable), 0);
   }
+  void add_hops(uint8_t hops) {
+    fbb_.AddElement<uint8_t>(open::VT_HOPS, hops, 0);
+  }
+  void add_retry(bool retry) {
+    fbb_.AddElement<uint8_t>(open::VT_RETRY, static_cast<uint8_t>(retry), 0);
+  }
   void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
     fbb_.AddOffset(open::VT_BODY, body);
   }
@@ -313,6 +329,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::wire::fbs::header_field>>> fields = 0,
     uint64_t timeout_us = 0,
     bool repeatable = false,
+    uint8_t hops = 0,
+    bool retry = false,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     bool last = false) {
   openBuilder builder_(_fbb);
@@ -325,6 +343,8 @@
   builder_.add_caller_class(caller_class);
   builder_.add_service(service);
   builder_.add_last(last);
+  builder_.add_retry(retry);
+  builder_.add_hops(hops);
   builder_.add_repeatable(repeatable);
   return builder_.Finish();
 }
@@ -339,6 +359,8 @@
     const std::vector<flatbuffers::Offset<bth::wire::fbs::header_field>> *fields = nullptr,
     uint64_t timeout_us = 0,
     bool repeatable = false,
+    uint8_t hops = 0,
+    bool retry = false,
     const std::vector<uint8_t> *body = nullptr,
     bool last = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -358,6 +380,8 @@
       fields__,
       timeout_us,
       repeatable,
+      hops,
+      retry,
       body__,
       last);
 }
