--- a/bth/shell/program.cpp
+++ b/bth/shell/program.cpp
@@ -11,7 +11,8 @@
 
 int fail_start(const std::string& program, const std::string& message)
 {
-    std::cerr << program << ": " << message << std::endl;
+    const bool has_line_end = !message.empty() && message.back() == '\n';
+    std::cerr << program << ": " << message << (has_line_end ? "" : "\n") << std::flush;
     return exit_failure;
 }
 
