--- a/bth/entry/driver.cpp
+++ b/bth/entry/driver.cpp
@@ -109,8 +109,8 @@
 
 void steering_driver::perform_one(const steering::forward_to_host& action)
 {
-    this->order_for(action.id,
-                    peer_order{this->present->model().at(action.host).name, action.deadline});
+    this->order_for(action.id, peer_order{this->present->model().at(action.host).name,
+                                          action.deadline, action.hops, action.retry});
 }
 
 void steering_driver::perform_one(const steering::refuse& action)
--- a/bth/entry/orders.h
+++ b/bth/entry/orders.h
@@ -29,6 +29,9 @@
 struct peer_order {
     std::string host;
     time_point deadline;
+    // The fields of the same name of the arrival there.
+    std::uint8_t hops{};
+    bool retry{};
 };
 
 struct refusal_order {
