Join leaving, look-ups, stopping and the shift cap into the node

Cause: the parts stood alone; the node decided without them.

Change: standing.cpp and shift_steps.cpp feed them from the node's events and ask them at check_available, check_origin and when a fallback is chosen. A request counts as served from its admission and is taken back if it goes elsewhere.

--- a/bth/steering/availability.cpp
+++ b/bth/steering/availability.cpp
@@ -178,6 +178,20 @@
     }
 }
 
+void availability::take_sign_of_life(host_id from, time_point now)
+{
+    host_row& row = this->hosts.at(from.index());
+    if (!row.heard_at) {
+        row.life_began = now;
+    }
+    row.heard_at = now;
+}
+
+void availability::announce_own_leaving(host_id self, time_point now)
+{
+    give(this->hosts.at(self.index()).word, &word_row::by_report, now);
+}
+
 void availability::take_heartbeat(host_id from, const heartbeat& beat, time_point now)
 {
     host_row& row = this->hosts.at(from.index());
@@ -185,9 +199,10 @@
         return;
     }
     if (!row.heard_at || beat.life > row.life) {
+        const bool known_before = row.heard_at && row.life == incarnation{};
+        row.life_began = known_before ? row.life_began : now;
+        row.word = known_before ? row.word : word_row{};
         row.life = beat.life;
-        row.life_began = now;
-        row.word = {};
     }
     row.heard_at = now;
     if (beat.leaving) {
--- a/bth/steering/availability.h
+++ b/bth/steering/availability.h
@@ -57,8 +57,13 @@
     void take_platform(const platform_list& list, time_point now);
     void take_report(const load_report& report, time_point now);
     void take_notice(const leaving_notice& notice, time_point now);
+    // Any message of a host shows that it lives.
+    void take_sign_of_life(host_id from, time_point now);
     void take_heartbeat(host_id from, const heartbeat& beat, time_point now);
 
+    // This host itself leaves; its notices say so from now on.
+    void announce_own_leaving(host_id self, time_point now);
+
     bool leaving(target_id target) const;
     bool leaving(host_id host) const;
     // Whether the domain or its region is drained.
--- a/bth/steering/completion.cpp
+++ b/bth/steering/completion.cpp
@@ -74,6 +74,7 @@
     const bool cancelled = result.outcome == try_outcome::cancelled;
     if (row->phase == request_phase::waiting) {
         if (cancelled) {
+            this->withdraw_shift(*row, now);
             this->queues.remove(
                 {row->request.id, service, row->level, row->request.home, row->request.deadline});
             this->requests.erase(result.id);
@@ -98,6 +99,7 @@
 void node::state::retry_or_give_up(request_row& row, const try_result& result, time_point now,
                                    actions& out)
 {
+    this->note_shift_refusal(row, result, now);
     row.may_have_run = row.may_have_run || !certainly_not_run(result.outcome);
     if (const auto why = this->check_retry(row, result, now)) {
         this->release(row, now);
@@ -154,6 +156,7 @@
 
 void node::state::give_up(request_row& row, const refusal& why, actions& out)
 {
+    this->withdraw_shift(row, this->latest);
     const request_id id = row.request.id;
     const run_state run = row.may_have_run ? run_state::unknown : run_state::no;
     out.push_back(refuse{id, why.reason, run, why.retry_after});
--- a/bth/steering/flow.cpp
+++ b/bth/steering/flow.cpp
@@ -39,9 +39,6 @@
     if (!this->ready()) {
         return refusal{refusal_reason::not_configured};
     }
-    if (this->stopping) {
-        return refusal{refusal_reason::shutting_down};
-    }
     if (request.service.index() >= this->model->services.size()) {
         return refusal{refusal_reason::unknown_service};
     }
@@ -56,7 +53,9 @@
 std::optional<refusal> node::state::check_available(const arrival& request, time_point now) const
 {
     (void)request;
-    (void)now;
+    if (const auto why = this->refuses_all(now)) {
+        return refusal{*why};
+    }
     return std::nullopt;
 }
 
@@ -85,9 +84,7 @@
 // the shift cap.
 std::optional<refusal> node::state::check_origin(request_row& row, time_point now)
 {
-    (void)row;
-    (void)now;
-    return std::nullopt;
+    return this->check_shift(row, now);
 }
 
 // Takes a place in the service's part of this domain's capacity.
--- a/bth/steering/internal/node_state.h
+++ b/bth/steering/internal/node_state.h
@@ -4,19 +4,28 @@
 #pragma once
 
 #include "bth/steering/admission.h"
+#include "bth/steering/availability.h"
+#include "bth/steering/lookup_policy.h"
 #include "bth/steering/node.h"
 #include "bth/steering/priority_audit.h"
 #include "bth/steering/request_table.h"
 #include "bth/steering/retry_budget.h"
+#include "bth/steering/shift_limiter.h"
 #include "bth/steering/target_table.h"
 
+#include <map>
 #include <memory>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace bth::steering {
 
 inline constexpr duration usual_retry_after = std::chrono::seconds{1};
-inline constexpr std::chrono::seconds lookup_max_age{5};
+// How long a stopping host serves callers who keep an older look-up: until the first word of the
+// stop has reached every host that answers look-ups, and their last answer has run out.
+inline constexpr duration serves_after_stop =
+    std::chrono::seconds{2} + lookup_policy::longest_max_age;
 
 // Why a step refuses, and when the caller may come back.
 struct refusal {
@@ -68,6 +77,28 @@
     // Ends the request with a refusal.
     void give_up(request_row& row, const refusal& why, actions& out);
 
+    // Counts a request that this domain is about to run against the shift cap, takes it back if it
+    // goes elsewhere, or makes it final. (shift_steps.cpp)
+    std::optional<refusal> check_shift(request_row& row, time_point now);
+    void withdraw_shift(request_row& row, time_point now);
+    void refresh_shift(time_point now, actions& out);
+    void note_shift_refusal(const request_row& row, const try_result& result, time_point now);
+    // Whether a fallback domain may not, or will not, take the request.
+    bool skips_domain(const request_row& row, domain_id other, time_point now) const;
+    bool owns_targets(service_id service, time_point now) const;
+
+    // Who is leaving, silent or starting, and what look-ups name. (standing.cpp)
+    void apply_standing(const model_map* change, clock_reading now);
+    void refresh_standing(time_point now, actions& out);
+    void close_leaving_targets(time_point now);
+    void receive_standing(host_id from, const peer_message& message, time_point now);
+    void refresh_lookups(time_point now);
+    lookup_host listing_of(host_id host, time_point now) const;
+    lookup_place place_of(domain_id domain, service_id service, time_point now) const;
+    void send_to_domain(domain_id domain, const peer_message& message, actions& out) const;
+    // Whether this host takes no new work any more, and why.
+    std::optional<refusal_reason> refuses_all(time_point now) const;
+
     // Whether the request came from a host of another failure domain.
     bool is_foreign(const arrival& request) const;
     target_query query_for(const request_row& row) const;
@@ -78,7 +109,7 @@
     void count_first_try(request_row& row, bool forwards, time_point now);
 
     // Takes a model into force in every table. (node.cpp)
-    void apply(std::shared_ptr<const config::model> next, revision number, time_point now,
+    void apply(std::shared_ptr<const config::model> next, revision number, clock_reading clock,
                actions& out);
     void tick(time_point now, actions& out);
 
@@ -101,6 +132,15 @@
     admission queues;
     retry_budget retries;
     priority_audit audit;
+    availability known;
+    lookup_policy lookups;
+    shift_limiter shifts;
+    // By service and domain: until when the domain is known to refuse shifts of a priority.
+    std::map<std::pair<service_id, domain_id>, std::pair<priority_level, time_point>> shift_closed;
+    std::vector<bool> shift_begun;
+    time_point started;
+    // Since when an operators' drain of this host has been in force.
+    std::optional<time_point> drained_since;
     // The time of the last event.
     time_point latest;
     bool stopping{};
--- a/bth/steering/messages.h
+++ b/bth/steering/messages.h
@@ -128,6 +128,13 @@
     std::vector<host_id> hosts;
 };
 
+// Requests of one slice of a shift window.
+struct shift_slice {
+    std::uint32_t served{};
+    // Those of them that were no shifts.
+    std::uint32_t kept{};
+};
+
 // What the owner of a service's targets has settled of the traffic of another domain's callers.
 // Sent to the hosts of the callers' home, which must not take that traffic back faster than the
 // shift cap allows, and to the hosts of its own domain, one of which may have to take over.
@@ -138,6 +145,8 @@
     request_rate settled;
     // The part of it that callers bring by themselves now, past their home's hosts.
     request_rate direct;
+    // The latest slices, newest first; only for the hosts of its own domain.
+    std::vector<shift_slice> history;
 };
 
 using peer_message =
--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -19,9 +19,10 @@
 node& node::operator=(node&&) noexcept = default;
 node::~node() = default;
 
-void node::state::apply(std::shared_ptr<const config::model> next, revision number, time_point now,
-                        actions& out)
+void node::state::apply(std::shared_ptr<const config::model> next, revision number,
+                        clock_reading clock, actions& out)
 {
+    const time_point now = clock.monotonic;
     std::optional<model_map> map;
     if (this->model != nullptr) {
         map.emplace(*this->model, *next);
@@ -37,6 +38,7 @@
             this->targets.adopt(*row.target, now);
         }
     }
+    this->apply_standing(change, clock);
     this->retries.apply(*this->model, change);
     this->audit.apply(this->model->services.size(), change);
     for (const waiting_request& gone : this->queues.apply(*this->model, change)) {
@@ -48,6 +50,7 @@
 void node::state::tick(time_point now, actions& out)
 {
     this->targets.tick(now);
+    this->refresh_standing(now, out);
     for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
         this->serve_queue(service_id::from_index(index), now, out);
     }
@@ -58,7 +61,7 @@
     actions out;
     this->self->latest = now.monotonic;
     if (this->self->model == nullptr || number >= this->self->configuration) {
-        this->self->apply(std::move(next), number, now.monotonic, out);
+        this->self->apply(std::move(next), number, now, out);
     }
     return out;
 }
@@ -81,10 +84,12 @@
 
 actions node::receive(host_id from, const peer_message& message, time_point now)
 {
-    (void)from;
-    (void)message;
-    (void)now;
-    return {};
+    actions out;
+    this->self->latest = now;
+    if (this->self->ready() && from.index() < this->self->model->hosts.size()) {
+        this->self->receive_standing(from, message, now);
+    }
+    return out;
 }
 
 actions node::peer_lost(host_id peer, time_point now)
@@ -100,57 +105,53 @@
     actions out;
     this->self->latest = now;
     this->self->targets.report(report, now);
+    this->self->known.take_report(report, now);
     this->self->tick(now, out);
     return out;
 }
 
 actions node::platform(const platform_list& list, time_point now)
 {
-    (void)list;
-    (void)now;
-    return {};
+    actions out;
+    this->self->latest = now;
+    this->self->known.take_platform(list, now);
+    this->self->tick(now, out);
+    return out;
 }
 
 actions node::begin_shutdown(time_point now)
 {
-    this->self->stopping = true;
-    this->self->stop_began = now;
-    return {};
+    actions out;
+    this->self->latest = now;
+    if (!this->self->stopping) {
+        this->self->stopping = true;
+        this->self->stop_began = now;
+    }
+    this->self->tick(now, out);
+    return out;
 }
 
 actions node::tick(clock_reading now)
 {
     actions out;
     this->self->latest = now.monotonic;
+    this->self->known.advance(now);
     this->self->tick(now.monotonic, out);
     return out;
 }
 
 lookup_answer node::lookup(const lookup_query& query, time_point now)
 {
-    (void)now;
-    lookup_answer answer{{}, lookup_max_age};
     if (!this->self->ready()) {
-        return answer;
-    }
-    const auto add_domain = [&](domain_id domain) {
-        for (std::size_t index = 0; index < this->self->model->hosts.size(); ++index) {
-            if (this->self->model->hosts.at(index).domain == domain) {
-                answer.hosts.push_back(host_id::from_index(index));
-            }
-        }
-    };
-    add_domain(query.home);
-    for (const domain_id domain : this->self->model->at(query.home).fallbacks) {
-        add_domain(domain);
+        return {{}, lookup_policy::shortest_max_age};
     }
-    return answer;
+    return this->self->lookups.answer(query, now);
 }
 
 bool node::may_exit(time_point now) const
 {
     return this->self->stopping && this->self->requests.empty() &&
-           now - this->self->stop_began >= lookup_max_age;
+           now - this->self->stop_began >= serves_after_stop;
 }
 
 std::size_t node::in_flight() const
--- a/bth/steering/placement.cpp
+++ b/bth/steering/placement.cpp
@@ -19,6 +19,12 @@
 void node::state::place(request_row& row, time_point now, actions& out)
 {
     const service_id service = row.request.service;
+    if (row.only_domain) {
+        if (!this->place_at_fallback(row, any_detour, now, out)) {
+            this->give_up(row, {refusal_reason::shift_cap}, out);
+        }
+        return;
+    }
     if (this->audit.outranked(service, row.level, now)) {
         if (!this->place_at_fallback(row, any_detour, now, out)) {
             this->refuse_for_lack(row, refusal_reason::priority, now, out);
@@ -59,6 +65,7 @@
                          this->queues.highest_waiting(row.request.service), now);
     this->count_first_try(row, false, now);
     this->targets.begin(*target, now);
+    row.shift.reset();
     row.phase = request_phase::at_target;
     row.target = target;
     row.try_began = now;
@@ -89,9 +96,8 @@
 std::optional<host_id> node::state::choose_fallback(const request_row& row, duration detour,
                                                     time_point now)
 {
-    (void)now;
     for (const domain_id domain : this->model->at(this->domain()).fallbacks) {
-        if (this->detour_to(domain) > detour) {
+        if (this->detour_to(domain) > detour || this->skips_domain(row, domain, now)) {
             continue;
         }
         for (std::size_t index = 0; index < this->model->hosts.size(); ++index) {
@@ -108,6 +114,7 @@
 {
     const bool retried = row.retried();
     this->count_first_try(row, true, now);
+    this->withdraw_shift(row, now);
     row.phase = request_phase::at_peer;
     row.peer = peer;
     row.try_began = now;
--- a/bth/steering/request_table.h
+++ b/bth/steering/request_table.h
@@ -10,6 +10,7 @@
 #include "bth/base/time.h"
 #include "bth/steering/events.h"
 #include "bth/steering/model_map.h"
+#include "bth/steering/shift_limiter.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -33,6 +34,13 @@
     bool domain_part{};
 };
 
+// That a request counts in the shift limiter, until it is sure that it runs here.
+struct shift_hold {
+    shift_query query;
+    shift_verdict verdict;
+    time_point counted;
+};
+
 struct request_row {
     arrival request;
     priority_level level;
@@ -47,6 +55,9 @@
     std::vector<host_id> tried_peers;
     // Whether the first try is counted in the retry budget.
     bool first_try_counted{};
+    std::optional<shift_hold> shift;
+    // The only other domain that may serve the request: its home's assignment says so.
+    std::optional<domain_id> only_domain;
     // When the present try began.
     time_point try_began;
     // Whether a failed try may have run the request: its refusal then can't say that it didn't run.
--- a/bth/steering/shift_limiter.cpp
+++ b/bth/steering/shift_limiter.cpp
@@ -133,18 +133,31 @@
     }
 }
 
-// Takes the slices up to a claim as served at the claimed rate; since then, nothing was served.
+// Takes over the slices that the predecessor told of. Its slices may begin up to one slice earlier
+// than here, so a slice counts as served what both readings allow; and the predecessor is taken to
+// have used up what it could keep. Since its last word, nothing was served.
 void shift_limiter::inherit(service_row& row, domain_id home, const claim_row& heard)
 {
-    const double per_slice = heard.claim.settled.value() * seconds(row.slice);
-    const std::int64_t last = heard.at.time_since_epoch() / row.slice;
+    const std::int64_t newest = heard.at.time_since_epoch() / row.slice;
+    const auto& history = heard.claim.history;
+    const double quarter = seconds(row.slice) * static_cast<double>(slices_per_quarter);
+    const auto allowed =
+        static_cast<std::uint32_t>(std::lround(heard.claim.settled.value() * quarter));
+    std::uint32_t kept = 0;
     home_row& counts = row.homes[home];
-    for (std::size_t back = 0; back < ring_size; ++back) {
-        const std::int64_t each = row.current - static_cast<std::int64_t>(back);
-        if (each >= 0 && each <= last) {
-            counts.served.at(static_cast<std::size_t>(each) % ring_size) =
-                static_cast<std::uint32_t>(per_slice);
+    for (std::size_t back = 0; back < std::min(history.size(), ring_size); ++back) {
+        const std::int64_t each = newest - static_cast<std::int64_t>(back);
+        if (each < 0 || row.current - each >= static_cast<std::int64_t>(ring_size)) {
+            break;
         }
+        const auto slot = static_cast<std::size_t>(each) % ring_size;
+        const shift_slice& told = history.at(back);
+        counts.served.at(slot) = back == 0 ? 0 : std::min(told.served, history.at(back - 1).served);
+        counts.kept.at(slot) = told.kept;
+        kept += back < slices_per_quarter ? told.kept : 0;
+    }
+    if (row.current - newest < static_cast<std::int64_t>(ring_size) && allowed > kept) {
+        counts.kept.at(static_cast<std::size_t>(newest) % ring_size) += allowed - kept;
     }
 }
 
@@ -174,7 +187,7 @@
         }
         for (auto& [home, counts] : row.homes) {
             counts.served.at(at) = 0;
-            counts.moved.at(at) = 0;
+            counts.kept.at(at) = 0;
             counts.direct.at(at) = 0;
         }
     }
@@ -205,8 +218,7 @@
 
 bool shift_limiter::is_settled(const service_row& row, const home_row& home)
 {
-    const std::uint64_t kept = recent(row, home.served, 0, slices_per_quarter) -
-                               recent(row, home.moved, 0, slices_per_quarter);
+    const std::uint64_t kept = recent(row, home.kept, 0, slices_per_quarter);
     return kept < settled_per_quarter(row, home);
 }
 
@@ -249,8 +261,9 @@
         }
     }
     for (const auto& [domain, debt] : row.debts) {
-        if (now - debt.last.at <= row.window) {
-            traffic += debt.last.claim.settled.value() * seconds(row.window);
+        // Less two slices, in which the claim may lag behind callers who came back.
+        if (now - debt.last.at <= claim_fresh_for) {
+            traffic += debt.last.claim.settled.value() * seconds(row.window - 2 * row.slice);
         }
     }
     return static_cast<std::uint64_t>(this->model->at(service).shift.part.value() * traffic);
@@ -295,6 +308,9 @@
     if (!row.owned) {
         this->begin(query.service, now);
     }
+    if (this->model->at(query.service).shift.part.value() >= 1.0) {
+        return {shift_decision::kept, std::nullopt, {}};
+    }
     std::optional<domain_id> settled_at;
     if (this->is_own(query.service, query.home)) {
         this->accrue_debts(row, now);
@@ -329,10 +345,10 @@
         ++home.direct.at(slot);
     }
     if (verdict.decision != shift_decision::moved) {
+        ++home.kept.at(slot);
         return;
     }
     ++row.moved.at(slot);
-    ++home.moved.at(slot);
     if (verdict.at) {
         const auto debt = row.debts.find(*verdict.at);
         if (debt != row.debts.end()) {
@@ -341,6 +357,27 @@
     }
 }
 
+void shift_limiter::withdraw(const shift_query& query, const shift_verdict& verdict,
+                             time_point counted, time_point now)
+{
+    service_row& row = this->row_at(query.service, now);
+    const std::int64_t slice = counted.time_since_epoch() / row.slice;
+    const auto home = row.homes.find(query.home);
+    if (home == row.homes.end() || row.current - slice >= static_cast<std::int64_t>(ring_size)) {
+        return;
+    }
+    const auto slot = static_cast<std::size_t>(slice) % ring_size;
+    const auto take_one = [slot](ring& counts) {
+        counts.at(slot) -= counts.at(slot) > 0 ? 1U : 0U;
+    };
+    take_one(home->second.served);
+    if (query.direct) {
+        take_one(home->second.direct);
+    }
+    const bool moved = verdict.decision == shift_decision::moved;
+    take_one(moved ? row.moved : home->second.kept);
+}
+
 void shift_limiter::receive(domain_id from, const shift_claim& claim, time_point now)
 {
     service_row& row = this->row_at(claim.service, now);
@@ -363,6 +400,17 @@
     debt.last = {claim, now};
 }
 
+std::vector<shift_slice> shift_limiter::history_of(const service_row& row, const home_row& home)
+{
+    std::vector<shift_slice> history(ring_size);
+    for (std::size_t back = 0; back < ring_size; ++back) {
+        const auto served = static_cast<std::uint32_t>(recent(row, home.served, back, 1));
+        const auto kept = static_cast<std::uint32_t>(recent(row, home.kept, back, 1));
+        history.at(back) = {served, kept};
+    }
+    return history;
+}
+
 void shift_limiter::collect_claims(service_id service, service_row& row, time_point now,
                                    std::vector<addressed_claim>& due) const
 {
@@ -373,18 +421,20 @@
             continue;
         }
         const auto settled = static_cast<double>(settled_per_quarter(row, counts));
-        // A last claim of nothing ends the earlier ones.
-        if (settled <= 0.0 && !counts.claimed) {
+        if (settled > 0.0) {
+            counts.claimed = now;
+        }
+        // Claims of nothing end the earlier ones; some may get lost.
+        if (!counts.claimed || now - *counts.claimed > row.window) {
             continue;
         }
-        counts.claimed = settled > 0.0;
         const double direct =
             static_cast<double>(recent(row, counts.direct, 1, 1)) / seconds(row.slice);
-        const shift_claim claim{service, home, request_rate{settled / quarter},
-                                request_rate{direct}};
+        shift_claim claim{service, home, request_rate{settled / quarter}, request_rate{direct}, {}};
         const std::size_t at = service.index() * this->model->domains.size() + home.index();
         due.push_back({this->assigned.at(at), claim});
-        due.push_back({this->own, claim});
+        claim.history = history_of(row, counts);
+        due.push_back({this->own, std::move(claim)});
     }
 }
 
--- a/bth/steering/shift_limiter.h
+++ b/bth/steering/shift_limiter.h
@@ -15,7 +15,8 @@
 // caller has one home, so the domains' parts sum to `part` of the service's traffic, whichever of
 // them are alive. The window slides in slices and a slice counts until all of it is older than the
 // window. A new owner knows nothing of what its predecessor let move: it lets nothing move for one
-// window, and takes the settled part from the claims that its predecessor sent.
+// window, and takes the settled part from the claims that its predecessor sent. A cap of 1 limits
+// nothing.
 //
 //   shift_limiter limiter;
 //   limiter.configure(model, own_domain);
@@ -92,6 +93,9 @@
     shift_verdict decide(const shift_query& query, time_point now);
     // Counts a request that `decide` judged and that now goes to a target.
     void admitted(const shift_query& query, const shift_verdict& verdict, time_point now);
+    // Takes back what was counted at `counted`: the request went to no target here after all.
+    void withdraw(const shift_query& query, const shift_verdict& verdict, time_point counted,
+                  time_point now);
 
     // Takes a claim of the owner in `from`.
     void receive(domain_id from, const shift_claim& claim, time_point now);
@@ -112,9 +116,11 @@
 
     struct home_row {
         ring served{};
-        ring moved{};
+        // Those of them that were no shifts.
+        ring kept{};
         ring direct{};
-        bool claimed{};
+        // When a claim last named something settled.
+        std::optional<time_point> claimed;
     };
     struct claim_row {
         shift_claim claim;
@@ -156,6 +162,7 @@
     std::optional<duration> wait_for_budget(const service_row& row, const shift_query& query,
                                             time_point now) const;
     bool is_own(service_id service, domain_id home) const;
+    static std::vector<shift_slice> history_of(const service_row& row, const home_row& home);
     void collect_claims(service_id service, service_row& row, time_point now,
                         std::vector<addressed_claim>& due) const;
 
