--- a/bth/steering/internal/target_row.h
+++ b/bth/steering/internal/target_row.h
@@ -41,6 +41,9 @@
 
     // Whether the target has failed so often that it should be ejected.
     bool looks_bad() const;
+    // Whether the target looks bad now: a failure of long ago doesn't count, so that work comes
+    // back.
+    bool failing(time_point now) const;
     // Whether the report is recent enough to be believed at all.
     bool is_known(time_point now) const;
     // The time that a try is expected to take; old slow answers are slowly forgotten, so that a
@@ -49,7 +52,7 @@
     // What a further try is expected to cost: time, crowding and the chance that it fails. The
     // target with the least score is the best one.
     duration score(time_point now) const;
-    bool has_room() const { return this->in_flight < this->limit; }
+    bool has_room() const { return this->in_flight + this->handed < this->limit; }
 
     target_id id;
     service_id service;
@@ -59,11 +62,15 @@
     duration usual_time{};
 
     std::uint32_t in_flight{};
+    // Tries of the former owner that still run.
+    std::uint32_t handed{};
     // The most tries that may run now.
     std::uint32_t limit{};
     // Tries that run by right of an earlier configuration with more slots.
     std::uint32_t grandfathered{};
     bool closed{};
+    // Slots that a former owner's tries still use.
+    std::uint32_t reserved{};
 
     target_standing standing{target_standing::in_service};
     time_point ejected_until;
@@ -77,6 +84,7 @@
     std::uint32_t failures_in_row{};
     // Share of tries that failed, exponentially weighted.
     double failure_share{};
+    time_point last_failure;
     std::uint32_t connect_failures_in_row{};
 
     target_word word;
--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -39,8 +39,10 @@
         }
     }
     this->apply_standing(change, clock);
+    this->apply_grants(change, now, out);
     this->retries.apply(*this->model, change);
     this->audit.apply(this->model->services.size(), change);
+    this->needs.apply(*this->model, change);
     for (const waiting_request& gone : this->queues.apply(*this->model, change)) {
         this->give_up(*this->requests.find(gone.id), {refusal_reason::unknown_service}, out);
     }
@@ -50,12 +52,29 @@
 void node::state::tick(time_point now, actions& out)
 {
     this->targets.tick(now);
+    this->tick_grants(now, out);
     this->refresh_standing(now, out);
+    this->refresh_needs(now);
     for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
         this->serve_queue(service_id::from_index(index), now, out);
     }
 }
 
+bool node::state::owns(service_id service, time_point now) const
+{
+    return this->owners.owns(service, now);
+}
+
+void node::state::refresh_needs(time_point now)
+{
+    for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
+        const auto service = service_id::from_index(index);
+        if (this->owns(service, now)) {
+            this->needs.set_able(service, this->targets.can_serve(service, now));
+        }
+    }
+}
+
 actions node::apply(std::shared_ptr<const config::model> next, revision number, clock_reading now)
 {
     actions out;
@@ -89,6 +108,7 @@
     if (this->self->ready() && from.index() < this->self->model->hosts.size()) {
         this->self->receive_standing(from, message, now);
     }
+    this->self->receive_grants(from, message, now, out);
     return out;
 }
 
@@ -97,6 +117,8 @@
     actions out;
     this->self->latest = now;
     this->self->cancel_forwarded_by(peer, now, out);
+    this->self->book.peer_lost(peer);
+    this->self->drop_busy_of(peer);
     return out;
 }
 
@@ -126,6 +148,7 @@
     if (!this->self->stopping) {
         this->self->stopping = true;
         this->self->stop_began = now;
+        this->self->owners.set_leaving(true);
     }
     this->self->tick(now, out);
     return out;
@@ -159,6 +182,21 @@
     return this->self->requests.size();
 }
 
+grant_view node::grants(time_point now) const
+{
+    grant_view view;
+    if (!this->self->ready()) {
+        return view;
+    }
+    for (ledger_use& each : this->self->ledger.use(now)) {
+        if (this->self->owners.owns(each.service, now)) {
+            view.granted.push_back(std::move(each));
+        }
+    }
+    view.held = this->self->book.held(now);
+    return view;
+}
+
 violations node::check_invariants() const
 {
     violations found;
--- a/bth/steering/placement.cpp
+++ b/bth/steering/placement.cpp
@@ -25,6 +25,9 @@
         }
         return;
     }
+    if (this->leave_for_dependency(row, now, out)) {
+        return;
+    }
     if (this->audit.outranked(service, row.level, now)) {
         if (!this->place_at_fallback(row, any_detour, now, out)) {
             this->refuse_for_lack(row, refusal_reason::priority, now, out);
@@ -43,9 +46,25 @@
     if (this->place_at_fallback(row, wait, now, out)) {
         return;
     }
+    if (row.retried() && !this->targets.can_serve(service, row.tried_targets)) {
+        // Every target that could serve it has failed it: waiting would change nothing.
+        this->give_up(row, {refusal_reason::target_failed}, out);
+        return;
+    }
     this->place_in_queue(row, now, out);
 }
 
+bool node::state::leave_for_dependency(request_row& row, time_point now, actions& out)
+{
+    if (!this->needs.missing(row.request.service)) {
+        return false;
+    }
+    if (!this->place_at_fallback(row, any_detour, now, out)) {
+        this->refuse_for_lack(row, refusal_reason::dependency, now, out);
+    }
+    return true;
+}
+
 target_query node::state::query_for(const request_row& row) const
 {
     const auto capacity = this->capacity_of(row);
@@ -96,18 +115,11 @@
 std::optional<host_id> node::state::choose_fallback(const request_row& row, duration detour,
                                                     time_point now)
 {
-    for (const domain_id domain : this->model->at(this->domain()).fallbacks) {
-        if (this->detour_to(domain) > detour || this->skips_domain(row, domain, now)) {
-            continue;
-        }
-        for (std::size_t index = 0; index < this->model->hosts.size(); ++index) {
-            const auto peer = host_id::from_index(index);
-            if (this->model->at(peer).domain == domain && !row.has_tried(peer)) {
-                return peer;
-            }
-        }
-    }
-    return std::nullopt;
+    const auto usable = [&](domain_id domain, host_id host) {
+        return this->detour_to(domain) <= detour && !row.has_tried(host) &&
+               !this->skips_domain(row, domain, now);
+    };
+    return this->book.draw(row.request.service, usable, now);
 }
 
 void node::state::forward(request_row& row, host_id peer, time_point now, actions& out)
@@ -160,6 +172,11 @@
     }
     while (const auto id = this->queues.next(service)) {
         request_row& row = *this->requests.find(*id);
+        if (this->needs.missing(service)) {
+            this->queues.remove(waiting_of(row));
+            this->leave_for_dependency(row, now, out);
+            continue;
+        }
         if (!this->place_at_target(row, now, out)) {
             return;
         }
--- a/bth/steering/shift_steps.cpp
+++ b/bth/steering/shift_steps.cpp
@@ -16,6 +16,9 @@
 std::optional<refusal> node::state::check_shift(request_row& row, time_point now)
 {
     const arrival& request = row.request;
+    if (!this->owners.owns(request.service, now)) {
+        return std::nullopt;
+    }
     const bool direct = !this->is_foreign(request);
     const shift_query query{request.service, request.home, row.level, direct};
     const shift_verdict verdict = this->shifts.decide(query, now);
@@ -64,18 +67,11 @@
            row.level >= closed->second.first;
 }
 
-bool node::state::owns_targets(service_id service, time_point now) const
-{
-    (void)service;
-    (void)now;
-    return true;
-}
-
 void node::state::refresh_shift(time_point now, actions& out)
 {
     for (std::size_t index = 0; index < this->shift_begun.size(); ++index) {
         const auto service = service_id::from_index(index);
-        const bool owns = this->owns_targets(service, now);
+        const bool owns = this->owners.owns(service, now);
         if (owns && !this->shift_begun.at(index)) {
             this->shifts.begin(service, now);
         }
--- a/bth/steering/standing_test.cpp
+++ b/bth/steering/standing_test.cpp
@@ -47,6 +47,7 @@
     void setup() override
     {
         this->core.apply(this->model, revision{1}, {this->now, {}});
+        settle(this->core, this->now);
         warm_up(this->core, *this->model, this->now);
     }
     void teardown() override { CHECK_EQUAL(0, this->core.check_invariants().size()); }
@@ -81,6 +82,13 @@
         }
         return ran;
     }
+    // Ticks while nothing else happens.
+    void pass(duration span)
+    {
+        for (const time_point end = this->now + span; this->now < end; this->now += tick_interval) {
+            report_idle(this->core, *this->model, this->now);
+        }
+    }
     lookup_answer look_up() { return this->core.lookup({domain_a, web, gold}, this->now); }
 };
 // clang-format on
@@ -88,6 +96,7 @@
 TEST(standing, a_target_that_says_it_leaves_gets_no_new_work_and_finishes_what_it_has)
 {
     const auto first = all_of<send_to_target>(arrive());
+    CHECK_EQUAL(1, first.size());
     const target_id leaver = first.front().target;
     const auto out = core.report({leaver, 1, 3, true}, now);
     CHECK_EQUAL(0, all_of<cancel_try>(out).size());
@@ -135,20 +144,20 @@
 
 TEST(standing, a_drain_ahead_takes_the_host_out_of_look_ups_before_it_begins)
 {
-    core.receive(a2, heartbeat{}, now);
-    apply(site_with(R"({"host":"a1","from_unix_ms":3604000})"));
-    core.tick({now, wall_time{1h}});
+    core.receive(a2, leaving_notice{}, now);
+    apply(site_with(R"({"host":"a1","from_unix_ms":3609000})"));
+    core.tick({now, wall_time{1h + 5s}});
     CHECK_FALSE(names(look_up(), a1));
     CHECK_TRUE(look_up().hosts.front() == a2);
 }
 
 TEST(standing, a_stopping_host_leaves_look_ups_serves_kept_ones_and_then_refuses)
 {
-    core.receive(a2, heartbeat{}, now);
+    core.receive(a2, leaving_notice{}, now);
     const auto out = core.begin_shutdown(now);
     CHECK_TRUE(!all_of<send_message>(out).empty());
     CHECK_FALSE(names(look_up(), a1));
-    now += 6s;
+    pass(6s);
     const auto served = all_of<send_to_target>(arrive());
     CHECK_EQUAL(1, served.size());
     now += 1s;
@@ -170,7 +179,7 @@
 
 TEST(standing, a_silent_host_is_not_named)
 {
-    core.receive(a2, heartbeat{}, now);
+    core.receive(a2, leaving_notice{}, now);
     core.tick({now, {}});
     CHECK_TRUE(names(look_up(), a2));
     now += 4s;
