--- a/bth/steering/internal/node_state.h
+++ b/bth/steering/internal/node_state.h
@@ -87,6 +87,8 @@
     // Gives free slots to the requests that wait for them, and final answers to those that can't
     // be served in time any more.
     void serve_queue(service_id service, time_point now, actions& out);
+    void clear_queue(service_id service, time_point now, actions& out);
+    void serve_queues(time_point now, actions& out);
     // Refuses a request for lack of room, with a time to come back that follows from the state.
     void refuse_for_lack(request_row& row, refusal_reason reason, time_point now, actions& out);
 
@@ -112,7 +114,9 @@
     // Who is leaving, silent or starting, and what look-ups name. (standing.cpp)
     void apply_standing(const model_map* change, clock_reading now);
     void refresh_standing(time_point now, actions& out);
+    void report_standing(const load_report& report, time_point now, actions& out);
     void close_leaving_targets(time_point now);
+    void pass_on_words(time_point now, actions& out);
     void receive_standing(host_id from, const peer_message& message, time_point now);
     void refresh_lookups(time_point now);
     lookup_host listing_of(host_id host, time_point now) const;
@@ -164,6 +168,8 @@
     void check(violations& found) const;
     void check_slots(const std::vector<std::uint64_t>& tries, violations& found) const;
     void check_queues(const std::vector<std::uint64_t>& waiting, violations& found) const;
+    void check_order(const std::vector<std::optional<priority_level>>& highest,
+                     violations& found) const;
     // Whether the first of the queue could have a slot now.
     bool could_serve_next(service_id service) const;
 
--- a/bth/steering/standing.cpp
+++ b/bth/steering/standing.cpp
@@ -57,11 +57,28 @@
     const bool drained = this->known.leaves_within(*this->host, duration::zero());
     this->drained_since = drained ? std::optional{this->drained_since.value_or(now)} : std::nullopt;
     this->close_leaving_targets(now);
+    this->pass_on_words(now, out);
+    this->refresh_shift(now, out);
+    this->refresh_lookups(now);
+}
+
+void node::state::report_standing(const load_report& report, time_point now, actions& out)
+{
+    this->known.take_report(report, now);
+    if (!this->ready() || !this->targets.has(report.target)) {
+        return;
+    }
+    this->targets.set_closed(report.target, this->known.leaving(report.target), now);
+    if (report.leaving) {
+        this->pass_on_words(now, out);
+    }
+}
+
+void node::state::pass_on_words(time_point now, actions& out)
+{
     if (const auto notice = this->known.due_notice(now)) {
         this->send_to_domain(this->domain(), *notice, out);
     }
-    this->refresh_shift(now, out);
-    this->refresh_lookups(now);
 }
 
 void node::state::close_leaving_targets(time_point now)
--- a/bth/steering/standing_test.cpp
+++ b/bth/steering/standing_test.cpp
@@ -79,6 +79,7 @@
                 this->answer(this->last_id);
             }
             report_idle(this->core, *this->model, this->now);
+            this->core.tick({this->now, {}});
         }
         return ran;
     }
@@ -87,6 +88,7 @@
     {
         for (const time_point end = this->now + span; this->now < end; this->now += tick_interval) {
             report_idle(this->core, *this->model, this->now);
+            this->core.tick({this->now, {}});
         }
     }
     lookup_answer look_up() { return this->core.lookup({domain_a, web, gold}, this->now); }
