--- a/bth/steering/internal/node_state.h
+++ b/bth/steering/internal/node_state.h
@@ -206,6 +206,8 @@
     std::map<service_id, former_owner> former;
     // The time of the last event.
     time_point latest;
+    // When the queue of each service was last served.
+    std::vector<time_point> served;
     bool stopping{};
     time_point stop_began;
 };
--- a/bth/steering/node_check.cpp
+++ b/bth/steering/node_check.cpp
@@ -105,9 +105,12 @@
 {
     const auto id = this->queues.next(service);
     const request_row* row = id ? this->requests.find(*id) : nullptr;
+    // What time alone frees, as leases that end and tokens that come, is given out at the next
+    // tick.
+    const time_point at = this->served.at(service.index());
     return row != nullptr && !this->needs.missing(service) &&
            this->owners.owns(service, this->latest) &&
-           this->ledger.may_start(service, this->holder_of(*row), this->latest) &&
+           this->ledger.may_start(service, this->holder_of(*row), at) &&
            this->targets.choose(this->query_for(*row));
 }
 
--- a/bth/steering/placement.cpp
+++ b/bth/steering/placement.cpp
@@ -166,6 +166,7 @@
 
 void node::state::serve_queue(service_id service, time_point now, actions& out)
 {
+    this->served.at(service.index()) = now;
     if (this->queues.waiting(service) == 0) {
         return;
     }
--- a/bth/steering/target_table.h
+++ b/bth/steering/target_table.h
@@ -3,7 +3,7 @@
 //
 //   target_table targets;
 //   targets.apply(model, own_domain, nullptr, now);
-//   if (auto id = targets.choose({.service = service}, now)) { targets.begin(*id, now); }
+//   if (auto id = targets.choose({.service = service})) { targets.begin(*id, now); }
 //   targets.end(*id, result, took, now);
 //
 // A target may carry the least of: its slots and connections; what its ramp allows, which starts at
