--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -19,9 +19,10 @@
 node& node::operator=(node&&) noexcept = default;
 node::~node() = default;
 
-void node::state::apply(std::shared_ptr<const config::model> next, revision number, time_point now,
-                        actions& out)
+void node::state::apply(std::shared_ptr<const config::model> next, revision number,
+                        clock_reading clock, actions& out)
 {
+    const time_point now = clock.monotonic;
     std::optional<model_map> map;
     if (this->model != nullptr) {
         map.emplace(*this->model, *next);
@@ -37,6 +38,7 @@
             this->targets.adopt(*row.target, now);
         }
     }
+    this->apply_standing(change, clock);
     this->served.assign(this->model->services.size(), now);
     this->apply_grants(change, now, out);
     this->retries.apply(*this->model, change);
@@ -52,6 +54,7 @@
 {
     this->targets.tick(now);
     this->tick_grants(now, out);
+    this->refresh_standing(now, out);
     this->refresh_needs(now);
     this->serve_queues(now, out);
 }
@@ -83,7 +86,7 @@
     actions out;
     this->self->latest = now.monotonic;
     if (this->self->model == nullptr || number >= this->self->configuration) {
-        this->self->apply(std::move(next), number, now.monotonic, out);
+        this->self->apply(std::move(next), number, now, out);
     }
     return out;
 }
@@ -108,6 +111,9 @@
 {
     actions out;
     this->self->latest = now;
+    if (this->self->ready() && from.index() < this->self->model->hosts.size()) {
+        this->self->receive_standing(from, message, now);
+    }
     this->self->receive_grants(from, message, now, out);
     this->self->serve_queues(now, out);
     return out;
@@ -129,6 +135,7 @@
     actions out;
     this->self->latest = now;
     this->self->targets.report(report, now);
+    this->self->report_standing(report, now, out);
     this->self->refresh_needs(now);
     this->self->serve_queues(now, out);
     return out;
@@ -136,52 +143,47 @@
 
 actions node::platform(const platform_list& list, time_point now)
 {
-    (void)list;
-    (void)now;
-    return {};
+    actions out;
+    this->self->latest = now;
+    this->self->known.take_platform(list, now);
+    this->self->tick(now, out);
+    return out;
 }
 
 actions node::begin_shutdown(time_point now)
 {
-    this->self->stopping = true;
-    this->self->stop_began = now;
-    this->self->owners.set_leaving(true);
-    return {};
+    actions out;
+    this->self->latest = now;
+    if (!this->self->stopping) {
+        this->self->stopping = true;
+        this->self->stop_began = now;
+        this->self->owners.set_leaving(true);
+    }
+    this->self->tick(now, out);
+    return out;
 }
 
 actions node::tick(clock_reading now)
 {
     actions out;
     this->self->latest = now.monotonic;
+    this->self->known.advance(now);
     this->self->tick(now.monotonic, out);
     return out;
 }
 
 lookup_answer node::lookup(const lookup_query& query, time_point now)
 {
-    (void)now;
-    lookup_answer answer{{}, lookup_max_age};
     if (!this->self->ready()) {
-        return answer;
-    }
-    const auto add_domain = [&](domain_id domain) {
-        for (std::size_t index = 0; index < this->self->model->hosts.size(); ++index) {
-            if (this->self->model->hosts.at(index).domain == domain) {
-                answer.hosts.push_back(host_id::from_index(index));
-            }
-        }
-    };
-    add_domain(query.home);
-    for (const domain_id domain : this->self->model->at(query.home).fallbacks) {
-        add_domain(domain);
+        return {{}, lookup_policy::shortest_max_age};
     }
-    return answer;
+    return this->self->lookups.answer(query, now);
 }
 
 bool node::may_exit(time_point now) const
 {
     return this->self->stopping && this->self->requests.empty() &&
-           now - this->self->stop_began >= lookup_max_age;
+           now - this->self->stop_began >= serves_after_stop;
 }
 
 std::size_t node::in_flight() const
