Keep the slots of targets that break now and then; don't charge for a wrong host

Each break halved a target's ramp and five in a row ejected it, so a domain lost half of its slots at 60% load. And a refusal because the asked host didn't own the service any more cost retry budget, although no target had been tried: at an owner's freeze the budget was spent on that.

Change: only timeouts, sheds and not-run answers, which speak of load, lower the ramp, by one. A target that fails a quarter of its tries takes one at a time; eight failures in a row eject, two failed connections as before. Refusals by ownership, drain, stop or a missing configuration may be taken to another host without the budget, within the bound of tries; refusals for lack of room cost it as before.

--- a/bth/steering/completion.cpp
+++ b/bth/steering/completion.cpp
@@ -48,6 +48,24 @@
     }
 }
 
+// Whether a peer refused because it isn't the one to ask any more. Asking another one then adds no
+// try at a target and no load to a full one, and so costs no retry budget.
+bool asked_the_wrong_host(const try_result& result)
+{
+    if (result.outcome != try_outcome::not_run || !result.peer_reason) {
+        return false;
+    }
+    switch (*result.peer_reason) {
+    case refusal_reason::not_configured:
+    case refusal_reason::shutting_down:
+    case refusal_reason::drained:
+    case refusal_reason::ownership:
+        return true;
+    default:
+        return false;
+    }
+}
+
 // Whether another host of the same domain should be asked after the owner of the service refused
 // so: only if it wasn't the owner, or is going.
 bool owner_has_moved(refusal_reason reason)
@@ -139,7 +157,8 @@
     if (now + this->capacity_of(row).service_time > row.request.deadline) {
         return refusal_reason::deadline;
     }
-    if (!this->retries.spend(row.request.service, now)) {
+    if (!(at_peer && asked_the_wrong_host(result)) &&
+        !this->retries.spend(row.request.service, now)) {
         return refusal_reason::retry_budget;
     }
     return std::nullopt;
--- a/bth/steering/flow_test.cpp
+++ b/bth/steering/flow_test.cpp
@@ -199,6 +199,32 @@
     CHECK_FALSE(all_of<send_to_target>(out).front().target == first);
 }
 
+TEST(flow, a_refusal_of_the_wrong_host_costs_no_retry_budget)
+{
+    const auto refused_with = [&](std::uint64_t id, refusal_reason reason) {
+        auto result = end_of(id, try_outcome::not_run);
+        result.peer_reason = reason;
+        return core.finished(result, now);
+    };
+    hold_grant();
+    fill_slots();
+    std::vector<std::uint64_t> forwarded;
+    for (std::uint64_t id = 100; id < 160; ++id) {
+        auto request = another(id, gold);
+        request.deadline = now + 60s;
+        if (!all_of<forward_to_host>(core.arrive(request, now)).empty()) {
+            forwarded.push_back(id);
+        }
+    }
+    CHECK_TRUE(forwarded.size() >= 2);
+    // Ten seconds later nothing of the budget is left.
+    now += 11s;
+    const auto full = refused_with(forwarded.at(0), refusal_reason::queue_full);
+    CHECK_EQUAL(0, all_of<count_retry>(full).size());
+    const auto moved = refused_with(forwarded.at(1), refusal_reason::ownership);
+    CHECK_EQUAL(1, all_of<count_retry>(moved).size());
+}
+
 TEST(flow, a_request_that_must_not_repeat_is_never_sent_again_once_it_may_have_run)
 {
     auto request = request_of(1, gold, now);
--- a/bth/steering/internal/target_row.cpp
+++ b/bth/steering/internal/target_row.cpp
@@ -25,8 +25,9 @@
 constexpr duration forget_half = std::chrono::seconds{2};
 constexpr int most_halvings = 16;
 
-constexpr std::uint32_t bad_failures_in_row = 5;
-constexpr double bad_failure_share = 0.4;
+constexpr std::uint32_t bad_failures_in_row = 8;
+// A target that fails this share of its tries takes one at a time.
+constexpr double unreliable_share = 0.25;
 constexpr double failure_weight = 1.0 / 16;
 // What a failed try costs, in tries.
 constexpr double failure_cost = 8;
@@ -85,7 +86,10 @@
     if (result.outcome == try_outcome::connect_failed) {
         ++this->connect_failures_in_row;
     }
-    this->ramp = std::max(cold_ramp, this->ramp / 2);
+    if (result.outcome == try_outcome::timed_out || result.outcome == try_outcome::not_run ||
+        result.shed) {
+        this->ramp = std::max(cold_ramp, this->ramp - 1);
+    }
     if (this->standing == target_standing::probing) {
         this->eject(now);
     }
@@ -117,7 +121,6 @@
 bool target_row::looks_bad() const
 {
     return this->failures_in_row >= bad_failures_in_row ||
-           this->failure_share >= bad_failure_share ||
            this->connect_failures_in_row >= bad_connect_failures_in_row;
 }
 
@@ -207,7 +210,8 @@
         this->limit = 1;
         return;
     }
-    const auto ramped = static_cast<std::uint32_t>(std::floor(this->ramp));
+    const bool unreliable = this->failure_share >= unreliable_share;
+    const auto ramped = unreliable ? 1U : static_cast<std::uint32_t>(std::floor(this->ramp));
     this->limit = std::min({this->slots, this->connections, ramped, this->limit_by_word(now)});
 }
 
