Spill while a domain's targets have no owner

Cause: for the second of a takeover every caller of the domain was refused (ownership), or forwarded to the dead owner and then refused for its retry budget. Change: a host whose connection to the owner broke, or that hears nothing of it, decides for the callers that reach it: it asks other domains for room and spills under their grants, though it admits nothing to its own targets before it owns them. Leases don't change by a broken connection. Seen failing: with broken connections left out, and with the spilling left out, callers_are_served_elsewhere_while_their_domain_has_no_owner fails.

--- a/bth/steering/granting.cpp
+++ b/bth/steering/granting.cpp
@@ -108,7 +108,8 @@
 
 bool node::state::decides_for(service_id service, time_point now) const
 {
-    return this->owners.owns(service, now) || !this->owners.owner(service, now);
+    const auto owner = this->owners.owner(service, now);
+    return !owner || owner == this->host;
 }
 
 // The host of this domain that owns the service's targets, if that is another one.
@@ -127,6 +128,9 @@
         return refusal{refusal_reason::ownership};
     }
     if (const auto holder = this->holder_of(row)) {
+        if (!this->owners.owns(service, now)) {
+            return refusal{refusal_reason::ownership};
+        }
         if (!this->ledger.draw(service, *holder, now)) {
             return refusal{refusal_reason::grant_missing};
         }
@@ -162,7 +166,7 @@
     // A host that is leaving promises nothing more.
     about.owned_until = this->stopping ? time_point::min() : this->owners.owned_until(service, now);
     about.owner = this->owners.owner(service, now);
-    about.usable_slots = capacity.slots;
+    about.usable_slots = this->owners.owns(service, now) ? capacity.slots : 0;
     about.service_time = std::max(capacity.service_time, usual);
     about.own_demand = this->offered.rates(service);
     return about;
--- a/bth/steering/grants_test.cpp
+++ b/bth/steering/grants_test.cpp
@@ -1,3 +1,4 @@
+#include "bth/steering/ownership.h"
 #include "bth/steering/testing/site_group.h"
 #include "bth/steering/testing/small_site.h"
 #include "bth/steering/testing/traffic.h"
@@ -100,6 +101,21 @@
     STRCMP_EQUAL("", site.broken_rule().c_str());
 }
 
+TEST(grants, callers_are_served_elsewhere_while_their_domain_has_no_owner)
+{
+    const auto model = small_site();
+    site_group site{model, 1};
+    const host_id owner = owner_candidates(*model, domain_a, web).front();
+    const std::string left = owner == site.id("a1") ? "a2" : "a1";
+    site.offer(left, web, gold, request_rate{200.0});
+    site.run(6s);
+    site.kill(owner);
+    const auto answered = site.answered;
+    site.run(1s);
+    CHECK_TRUE(site.answered - answered > 150);
+    STRCMP_EQUAL("", site.broken_rule().c_str());
+}
+
 TEST(grants, random_deaths_freezes_cuts_loss_and_surges_never_promise_more_than_a_cap)
 {
     constexpr std::uint64_t seeds = 200;
--- a/bth/steering/internal/node_state.h
+++ b/bth/steering/internal/node_state.h
@@ -69,6 +69,8 @@
     // Only domains whose detour isn't longer than `detour` are asked.
     bool place_at_fallback(request_row& row, duration detour, time_point now, actions& out);
     // Sends the request elsewhere or refuses it, if a service that it depends on can't serve here.
+    // Spills or refuses a request while nobody owns the targets. False if this host owns them.
+    bool leave_for_ownership(request_row& row, time_point now, actions& out);
     bool leave_for_dependency(request_row& row, time_point now, actions& out);
     void place_in_queue(request_row& row, time_point now, actions& out);
     // The owner of the service's targets in a fallback domain that has granted room, if any.
@@ -118,7 +120,7 @@
     void tick_grants(time_point now, actions& out);
     void receive_grants(host_id from, const peer_message& message, time_point now, actions& out);
     // Whether this host decides for callers of the service here: it owns the service's targets, or
-    // the domain has none.
+    // nobody else does as far as it knows. Without owning them it only spills to other domains.
     bool decides_for(service_id service, time_point now) const;
     // The host of another domain under whose grant the request came, or nothing.
     std::optional<host_id> holder_of(const request_row& row) const;
--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -119,6 +119,7 @@
     this->self->latest = now;
     this->self->cancel_forwarded_by(peer, now, out);
     this->self->book.peer_lost(peer);
+    this->self->owners.peer_lost(peer);
     this->self->drop_busy_of(peer);
     this->self->serve_queues(now, out);
     return out;
--- a/bth/steering/ownership.cpp
+++ b/bth/steering/ownership.cpp
@@ -238,6 +238,21 @@
     return group.now_in == phase::owned ? this->lease_end(group, now) : time_point::min();
 }
 
+void ownership::peer_lost(host_id peer)
+{
+    const auto found = this->peers.find(peer);
+    if (found != this->peers.end()) {
+        found->second.lost = true;
+    }
+}
+
+bool ownership::reachable(host_id host, time_point now) const
+{
+    const auto found = this->peers.find(host);
+    const bool lost = found != this->peers.end() && found->second.lost;
+    return !lost && !this->gone(host, now);
+}
+
 std::optional<host_id> ownership::owner(service_id service, time_point now) const
 {
     if (service.index() >= this->groups.size() || !this->groups.at(service.index()).present) {
@@ -247,11 +262,11 @@
     if (this->owns(service, now)) {
         return this->self;
     }
-    if (group.known_owner && !this->gone(*group.known_owner, now)) {
+    if (group.known_owner && this->reachable(*group.known_owner, now)) {
         return group.known_owner;
     }
     for (const candidate_row& each : group.candidates) {
-        if (each.host == this->self || !this->gone(each.host, now)) {
+        if (each.host == this->self || this->reachable(each.host, now)) {
             return each.host;
         }
     }
--- a/bth/steering/ownership.h
+++ b/bth/steering/ownership.h
@@ -93,6 +93,10 @@
     // Gives a service up. The caller sends the handover message.
     outgoing give_up(service_id service, time_point now);
 
+    // The connection to a host broke. Until it is heard again it is taken for gone when requests
+    // are routed; leases don't change by it.
+    void peer_lost(host_id peer);
+
     // Whether this host owns the service at `now`. Exact at any `now`, also after a freeze.
     bool owns(service_id service, time_point now) const;
     // When the ownership ends unless it is renewed; no promise to others may last longer.
@@ -147,6 +151,8 @@
         // What `latest` owns or claims and this host didn't promise when it came.
         std::vector<service_id> unpromised;
         bool regular{};
+        // Whether the connection broke since the peer was heard.
+        bool lost{};
     };
 
     duration awake_at(time_point now) const;
@@ -156,6 +162,7 @@
     bool unheard_for(host_id host, duration limit, time_point now) const;
     bool silent(host_id host, time_point now) const;
     bool gone(host_id host, time_point now) const;
+    bool reachable(host_id host, time_point now) const;
     time_point lease_end(const group_row& group, time_point now) const;
     bool claim_granted(const group_row& group, time_point now) const;
     void withdraw(group_row& group, time_point now) const;
--- a/bth/steering/ownership_messages.cpp
+++ b/bth/steering/ownership_messages.cpp
@@ -84,6 +84,7 @@
         peer.first_heard = this->awake;
     }
     peer.heard = this->awake;
+    peer.lost = false;
     peer.latest = message;
     std::optional<time_point> sent_at;
     while (message.acked_life == this->life && !peer.sent.empty() &&
--- a/bth/steering/placement.cpp
+++ b/bth/steering/placement.cpp
@@ -19,7 +19,7 @@
 void node::state::place(request_row& row, time_point now, actions& out)
 {
     const service_id service = row.request.service;
-    if (this->leave_for_dependency(row, now, out)) {
+    if (this->leave_for_ownership(row, now, out) || this->leave_for_dependency(row, now, out)) {
         return;
     }
     if (this->audit.outranked(service, row.level, now)) {
@@ -48,6 +48,17 @@
     this->place_in_queue(row, now, out);
 }
 
+bool node::state::leave_for_ownership(request_row& row, time_point now, actions& out)
+{
+    if (this->owners.owns(row.request.service, now)) {
+        return false;
+    }
+    if (!this->place_at_fallback(row, any_detour, now, out)) {
+        this->give_up(row, {refusal_reason::ownership}, out);
+    }
+    return true;
+}
+
 bool node::state::leave_for_dependency(request_row& row, time_point now, actions& out)
 {
     if (!this->needs.missing(row.request.service)) {
