Grant no more requests per second than the granted slots can serve

Cause: a granted slot of 2 ms came with up to 860 requests a second. Its holder sent them, most found the slot taken, and each refusal kept the granter's lower classes out as well, since no lower class may be admitted where a higher one was refused.

--- a/bth/steering/grant_ledger.cpp
+++ b/bth/steering/grant_ledger.cpp
@@ -17,6 +17,10 @@
 constexpr double burst_seconds = 0.02;
 constexpr double grant_burst_seconds = 0.05;
 constexpr double least_grant_burst = 3.0;
+// The share of its time that a granted slot may be busy: a holder that sends more would find it
+// taken, and its refused requests would keep lower classes out as well.
+constexpr double slot_use = 0.8;
+constexpr double least_seconds = 1e-6;
 // By how much the rate of own callers may be wrong.
 constexpr double measurement_error = 0.1;
 
@@ -226,9 +230,11 @@
     room.service = service;
     const std::uint32_t left = row.cap.in_flight - std::min(row.cap.in_flight, others);
     room.in_flight = std::min(left, static_cast<std::uint32_t>(std::lround(fair.in_flight)));
+    const double seconds = std::chrono::duration<double>(about.service_time).count();
+    const request_rate slot_rate{slot_use * room.in_flight / std::max(seconds, least_seconds)};
     const request_rate rate_left = std::max(request_rate{}, row.cap.rate - other_rates);
-    room.rate =
-        this->link_limited(service, holder, std::min(rate_left, request_rate{fair.rate}), now);
+    room.rate = this->link_limited(service, holder,
+                                   std::min({rate_left, request_rate{fair.rate}, slot_rate}), now);
     if (room.in_flight == 0 || room.rate.value() < 1.0) {
         room.in_flight = 0;
         room.rate = {};
