--- a/bth/bench/world.h
+++ b/bth/bench/world.h
@@ -164,6 +164,7 @@
 
 } // namespace bth::bench
 
+#include "bth/bench/internal/world_actions.h"
 #include "bth/bench/internal/world_callers.h"
 #include "bth/bench/internal/world_faults.h"
 #include "bth/bench/internal/world_hosts.h"
