--- a/bth/entry/driver.cpp
+++ b/bth/entry/driver.cpp
@@ -39,7 +39,8 @@
 
 void steering_driver::receive(const std::string& from, const steering::peer_message& message)
 {
-    const auto host = config::find_host(this->present->model(), from);
+    const auto host =
+        this->present ? config::find_host(this->present->model(), from) : std::nullopt;
     if (host) {
         this->perform(this->core.receive(*host, message, shell::monotonic_now()));
     }
@@ -108,8 +109,8 @@
 
 void steering_driver::perform_one(const steering::forward_to_host& action)
 {
-    this->order_for(action.id,
-                    peer_order{this->present->model().at(action.host).name, action.deadline});
+    this->order_for(action.id, peer_order{this->present->model().at(action.host).name,
+                                          action.deadline, action.hops, action.retry});
 }
 
 void steering_driver::perform_one(const steering::refuse& action)
