--- a/bth/membership/agent.cpp
+++ b/bth/membership/agent.cpp
@@ -342,6 +342,11 @@
 domain_summary agent::summary() const
 {
     domain_summary said{this->used.at, 0, {}};
+    if (this->relay != this->settings.self.host) {
+        // Hosts confirm to the first relay only; this one can't tell and names none.
+        said.unconfirmed_count = static_cast<std::uint32_t>(this->detector.members().size());
+        return said;
+    }
     for (const member& row : this->detector.members()) {
         const auto known = this->role->confirmed.find(row.host);
         const bool confirmed =
--- a/bth/membership/spread_measurement.cpp
+++ b/bth/membership/spread_measurement.cpp
@@ -228,24 +228,27 @@
     }
 }
 
-// Work for an instruction count: `hosts` for some seconds at 1.1 edits/s, or one edit of a table
-// of `blocks`.
-void run_for_count(int hosts, int domains, std::size_t blocks)
+// Work for an instruction count: a start, some idle seconds and some edits, one a second.
+void run_for_count(int hosts, int domains, std::size_t blocks, int idle_seconds, int edits)
 {
     fake_world world = make_world({hosts, domains, 3}, blocks);
-    edit_at(world, 1.1, 20s);
-    std::printf("\nhost seconds: %d\n", hosts * 50);
+    world.run_for(std::chrono::seconds{idle_seconds});
+    for (int edit = 0; edit < edits; ++edit) {
+        world.accept_edit();
+        world.run_for(1s);
+    }
 }
 
 int run(const std::vector<std::string>& words)
 {
-    if (words.size() == 4 && words[0] == "--count") {
-        run_for_count(std::stoi(words[1]), std::stoi(words[2]), std::stoul(words[3]));
+    if (words.size() == 6 && words[0] == "--count") {
+        run_for_count(std::stoi(words[1]), std::stoi(words[2]), std::stoul(words[3]),
+                      std::stoi(words[4]), std::stoi(words[5]));
         return EXIT_SUCCESS;
     }
     const bool quick = words.size() == 1 && words[0] == "--quick";
     if (!words.empty() && !quick) {
-        std::cerr << "usage: bth-measure-spread [--quick | --count HOSTS DOMAINS BLOCKS]\n";
+        std::cerr << "usage: bth-measure-spread [--quick | --count HOSTS DOMAINS BLOCKS IDLE EDITS]\n";
         return EXIT_FAILURE;
     }
     constexpr int quick_hosts = 180;
