--- a/bth/control/main.cpp
+++ b/bth/control/main.cpp
@@ -2,14 +2,17 @@
 #include "bth/control/config_feed.h"
 #include "bth/control/edit_service.h"
 #include "bth/control/local_proposer.h"
+#include "bth/control/replicated_proposer.h"
 #include "bth/control/settings.h"
 #include "bth/shell/files.h"
 #include "bth/shell/log.h"
 #include "bth/shell/net.h"
+#include "bth/shell/peer_link.h"
 #include "bth/shell/program.h"
 #include "bth/shell/simple_http.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,6 +24,7 @@
 
 using bth::control::control_settings;
 using bth::control::local_proposer;
+using bth::control::replicated_proposer;
 
 constexpr const char* program = "bth-control";
 
@@ -48,18 +52,25 @@
     return peers;
 }
 
-// Answers operators until a signal to stop; requests under way are finished.
-int serve(const control_settings& settings, local_proposer& decider)
+std::shared_ptr<bth::shell::peer_link> make_link(boost::asio::io_context& context,
+                                                 const control_settings& settings)
+{
+    const bth::shell::peer_link_settings own{settings.host, new_life()};
+    return std::make_shared<bth::shell::peer_link>(context.get_executor(), own);
+}
+
+// Answers operators and feeds the distribution until a signal to stop; requests under way are
+// finished.
+template <class Proposer>
+int serve(boost::asio::io_context& context, const control_settings& settings, Proposer& decider,
+          const std::shared_ptr<bth::shell::peer_link>& link, const std::function<void()>& on_stop)
 {
-    boost::asio::io_context context;
     auto acceptor = bth::shell::listen_on(context.get_executor(), settings.http);
     if (!acceptor) {
         return fail(acceptor.error());
     }
     const auto log = log4cplus::Logger::getInstance("control");
-    const auto link = std::make_shared<bth::shell::peer_link>(
-        context.get_executor(), bth::shell::peer_link_settings{settings.host, new_life()});
-    const auto feed = std::make_shared<bth::control::config_feed<local_proposer>>(
+    const auto feed = std::make_shared<bth::control::config_feed<Proposer>>(
         context, decider,
         std::make_shared<bth::distribution::publisher_driver>(context, link,
                                                               other_peers(settings)));
@@ -67,7 +78,8 @@
     if (const auto listening = link->listen(settings.peer); !listening) {
         return fail(listening.error());
     }
-    const auto service = std::make_shared<bth::control::edit_service<local_proposer>>(
+    link->set_peers(other_peers(settings));
+    const auto service = std::make_shared<bth::control::edit_service<Proposer>>(
         decider, settings.ids_kept,
         [feed](bth::control::control_status& status) { feed->complete(status); });
     const auto server =
@@ -76,6 +88,7 @@
     bth::shell::on_stop_signal(context, [&] {
         LOG4CPLUS_INFO(log, "Stopping.");
         server->stop();
+        on_stop();
         feed->stop();
         link->stop();
     });
@@ -86,7 +99,29 @@
     return bth::shell::exit_ok;
 }
 
-int run(const std::string& settings_file)
+int serve_alone(const control_settings& settings)
+{
+    boost::asio::io_context context;
+    auto decider = local_proposer::open(settings.host, settings.data_folder);
+    if (!decider) {
+        return fail(decider.error());
+    }
+    return serve(context, settings, *decider, make_link(context, settings), [] {});
+}
+
+int serve_in_group(const control_settings& settings, bool found)
+{
+    boost::asio::io_context context;
+    const auto decider = replicated_proposer::open(context, settings, found);
+    if (!decider) {
+        return fail(decider.error());
+    }
+    const auto link = make_link(context, settings);
+    (*decider)->start(link);
+    return serve(context, settings, **decider, link, [&] { (*decider)->stop(); });
+}
+
+int run(const std::string& settings_file, bool found)
 {
     const auto text = bth::shell::read_file(settings_file);
     if (!text) {
@@ -96,16 +131,9 @@
     if (!settings) {
         return fail(to_string(settings.error()));
     }
-    if (settings->members.size() != 1) {
-        return fail("\"members\" names " + std::to_string(settings->members.size()) +
-                    " control hosts, but this version decides alone");
-    }
     const bth::shell::logging_session logging{settings->log};
-    auto decider = local_proposer::open(settings->host, settings->data_folder);
-    if (!decider) {
-        return fail(decider.error());
-    }
-    return serve(*settings, *decider);
+    const bool alone = settings->members.size() == 1;
+    return alone ? serve_alone(*settings) : serve_in_group(*settings, found);
 }
 
 } // namespace
@@ -116,11 +144,14 @@
     std::string settings_file;
     app.add_option("settings,--settings", settings_file, "JSON file with this process's settings")
         ->required();
+    bool found{};
+    app.add_flag("--found", found,
+                 "Found the group that the settings name, if the data folder is blank");
     try {
         app.parse(count, arguments);
     }
     catch (const CLI::ParseError& error) {
         return app.exit(error) == 0 ? bth::shell::exit_ok : bth::shell::exit_usage;
     }
-    return run(settings_file);
+    return run(settings_file, found);
 }
--- a/bth/entry/entry_process.h
+++ b/bth/entry/entry_process.h
@@ -42,6 +42,10 @@
     tl::expected<void, std::string> listen(const endpoint& http, const endpoint& peer);
     tl::expected<void, std::string> listen_admin();
     void apply(std::shared_ptr<const config::model> model, revision number);
+    void send_steering(const config::model& model, const std::string& host,
+                       const steering::peer_message& message);
+    // False if the payload is malformed.
+    bool take_steering(const std::string& from, wire::byte_view payload);
     void serve_peer(std::shared_ptr<stream_channel> channel, received_open request);
     boost::asio::awaitable<void> serve_forwarded(std::shared_ptr<stream_channel> channel,
                                                  received_open request);
--- a/bth/steering/completion.cpp
+++ b/bth/steering/completion.cpp
@@ -48,6 +48,24 @@
     }
 }
 
+// Whether a peer refused because it isn't the one to ask any more. Asking another one then adds no
+// try at a target and no load to a full one, and so costs no retry budget.
+bool asked_the_wrong_host(const try_result& result)
+{
+    if (result.outcome != try_outcome::not_run || !result.peer_reason) {
+        return false;
+    }
+    switch (*result.peer_reason) {
+    case refusal_reason::not_configured:
+    case refusal_reason::shutting_down:
+    case refusal_reason::drained:
+    case refusal_reason::ownership:
+        return true;
+    default:
+        return false;
+    }
+}
+
 // Whether another host of the same domain should be asked after the owner of the service refused
 // so: only if it wasn't the owner, or is going.
 bool owner_has_moved(refusal_reason reason)
@@ -74,6 +92,7 @@
     const bool cancelled = result.outcome == try_outcome::cancelled;
     if (row->phase == request_phase::waiting) {
         if (cancelled) {
+            this->withdraw_shift(*row, now);
             this->queues.remove(
                 {row->request.id, service, row->level, row->request.home, row->request.deadline});
             this->requests.erase(result.id);
@@ -99,6 +118,7 @@
 void node::state::retry_or_give_up(request_row& row, const try_result& result, time_point now,
                                    actions& out)
 {
+    this->note_shift_refusal(row, result, now);
     row.may_have_run = row.may_have_run || !certainly_not_run(result.outcome);
     if (const auto why = this->check_retry(row, result, now)) {
         this->release(row, now);
@@ -139,7 +159,8 @@
     if (now + this->capacity_of(row).service_time > row.request.deadline) {
         return refusal_reason::deadline;
     }
-    if (!this->retries.spend(row.request.service, now)) {
+    if (!(at_peer && asked_the_wrong_host(result)) &&
+        !this->retries.spend(row.request.service, now)) {
         return refusal_reason::retry_budget;
     }
     return std::nullopt;
@@ -161,6 +182,7 @@
 
 void node::state::give_up(request_row& row, const refusal& why, actions& out)
 {
+    this->withdraw_shift(row, this->latest);
     const request_id id = row.request.id;
     const run_state run = row.may_have_run ? run_state::unknown : run_state::no;
     out.push_back(refuse{id, why.reason, run, why.retry_after});
--- a/bth/steering/granting.cpp
+++ b/bth/steering/granting.cpp
@@ -126,6 +126,9 @@
     if (!this->decides_for(service, now)) {
         return refusal{refusal_reason::ownership};
     }
+    if (const auto why = this->check_shift(row, now)) {
+        return why;
+    }
     if (const auto holder = this->holder_of(row)) {
         if (!this->ledger.draw(service, *holder, now)) {
             return refusal{refusal_reason::grant_missing};
--- a/bth/steering/invariants.h
+++ b/bth/steering/invariants.h
@@ -24,8 +24,9 @@
     in_flight_promised,    // Own load and outstanding grants exceed the part of the in-flight cap.
     rate_promised,         // The same for requests per second.
     link_promised,         // Granted bytes exceed the part of a link.
+    shift_cap_exceeded,    // A window holds more shifts than the cap; found by shift_audit.
 };
-inline constexpr std::size_t violation_kind_count = 11;
+inline constexpr std::size_t violation_kind_count = 12;
 
 // The fixed name, such as "priority_inverted".
 std::string_view to_string(violation_kind kind);
--- a/bth/steering/lookup_policy.h
+++ b/bth/steering/lookup_policy.h
@@ -2,9 +2,10 @@
 //
 // The hosts of the caller's own failure domain come first, led by the owner of the service's
 // targets, so that the common case has no hop; the home's hosts decide about spilling elsewhere.
-// Only if the home has no host that may be named, a fallback domain leads: the nearest one whose
-// room isn't yet promised. Every answer is promised load until its max-age has passed, and a lower
-// priority is led on earlier. The fuller the leading domain, the shorter its answers live.
+// Only if every host of the home is leaving, drained or silent, a fallback domain leads: the
+// nearest one whose room isn't yet promised. Every answer is promised load until its max-age has
+// passed, and a lower priority is led on earlier. The fuller the leading domain, the shorter its
+// answers live.
 //
 //   lookup_policy policy;
 //   policy.configure(model);
@@ -30,7 +31,7 @@
 // Whether answers may name a host.
 enum class host_listing : std::uint8_t {
     listed,
-    spare,    // Only where no listed host is left: nothing is known of it.
+    spare,    // After the listed ones of its domain: nothing is known of it.
     unlisted, // Leaving, drained or silent.
 };
 
--- a/bth/steering/placement.cpp
+++ b/bth/steering/placement.cpp
@@ -19,6 +19,12 @@
 void node::state::place(request_row& row, time_point now, actions& out)
 {
     const service_id service = row.request.service;
+    if (row.only_domain) {
+        if (!this->place_at_fallback(row, any_detour, now, out)) {
+            this->give_up(row, {refusal_reason::shift_cap}, out);
+        }
+        return;
+    }
     if (this->leave_for_dependency(row, now, out)) {
         return;
     }
@@ -78,6 +84,7 @@
                          this->queues.highest_waiting(row.request.service), now);
     this->count_first_try(row, false, now);
     this->targets.begin(*target, now);
+    row.shift.reset();
     row.phase = request_phase::at_target;
     row.target = target;
     row.try_began = now;
@@ -109,7 +116,8 @@
                                                     time_point now)
 {
     const auto usable = [&](domain_id domain, host_id host) {
-        return this->detour_to(domain) <= detour && !row.has_tried(host);
+        return this->detour_to(domain) <= detour && !row.has_tried(host) &&
+               !this->skips_domain(row, domain, now);
     };
     return this->book.draw(row.request.service, usable, now);
 }
@@ -118,6 +126,7 @@
 {
     const bool retried = row.retried();
     this->count_first_try(row, true, now);
+    this->withdraw_shift(row, now);
     row.phase = request_phase::at_peer;
     row.peer = peer;
     row.try_began = now;
