--- /dev/null
+++ b/bth/entry/polling.cpp
@@ -0,0 +1,167 @@
+#include "bth/entry/polling.h"
+
+#include "bth/config/json_reader.h"
+#include "bth/entry/http_fields.h"
+#include "bth/shell/simple_http.h"
+
+#include <limits>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace bth::entry {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr duration answer_limit = std::chrono::seconds{1};
+constexpr std::uint64_t most_count = std::numeric_limits<std::uint32_t>::max();
+
+// The rows of the names that the model has.
+template <class Id, class Find>
+std::vector<Id> rows_of(const std::vector<std::string>& names, Find find)
+{
+    std::vector<Id> out;
+    for (const std::string& name : names) {
+        if (const std::optional<Id> id = find(name)) {
+            out.push_back(*id);
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+std::optional<steering::load_report> read_load(target_id target, std::string text)
+{
+    findings found;
+    const auto document = config::json_document::parse("load", std::move(text), found);
+    if (!document) {
+        return std::nullopt;
+    }
+    config::json_object at{document->root(), *document, found};
+    steering::load_report report;
+    report.target = target;
+    report.in_flight =
+        static_cast<std::uint32_t>(at.required_integer("in_flight", 0, most_count).value_or(0));
+    report.slots =
+        static_cast<std::uint32_t>(at.required_integer("slots", 0, most_count).value_or(0));
+    report.leaving = at.boolean_or("leaving", false);
+    return found.empty() ? std::optional{report} : std::nullopt;
+}
+
+std::optional<steering::platform_list> read_platform(const config::model& model, std::string text)
+{
+    findings found;
+    const auto document = config::json_document::parse("list", std::move(text), found);
+    if (!document) {
+        return std::nullopt;
+    }
+    config::json_object at{document->root(), *document, found};
+    const auto targets = [&](const char* key) {
+        return rows_of<target_id>(at.strings(key), [&](const std::string& name) {
+            return config::find_target(model, name);
+        });
+    };
+    const auto hosts = [&](const char* key) {
+        return rows_of<host_id>(at.strings(key), [&](const std::string& name) {
+            return config::find_host(model, name);
+        });
+    };
+    steering::platform_list list{targets("live_targets"), targets("leaving_targets"),
+                                 hosts("live_hosts"), hosts("leaving_hosts")};
+    return found.empty() ? std::optional{std::move(list)} : std::nullopt;
+}
+
+report_poller::report_poller(asio::any_io_executor executor, steering_driver& driver,
+                             const entry_settings& settings)
+    : executor{std::move(executor)}, driver{driver}, host{settings.host},
+      platform{settings.platform}, interval{settings.poll_interval}
+{}
+
+void report_poller::start()
+{
+    asio::co_spawn(
+        this->executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+}
+
+asio::awaitable<void> report_poller::run()
+{
+    asio::steady_timer timer{this->executor};
+    while (true) {
+        this->ask_targets();
+        if (this->platform && this->asked.insert("").second) {
+            asio::co_spawn(
+                this->executor,
+                [self = shared_from_this()] { return self->ask_platform(*self->platform); },
+                asio::detached);
+        }
+        timer.expires_after(this->interval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void report_poller::ask_targets()
+{
+    const auto site = this->driver.site();
+    const auto self = site ? config::find_host(site->model(), this->host) : std::nullopt;
+    if (!self) {
+        return;
+    }
+    const domain_id own = site->model().at(*self).domain;
+    for (const config::target& row : site->model().targets) {
+        if (row.domain == own && this->asked.insert(row.name).second) {
+            asio::co_spawn(
+                this->executor,
+                [poller = shared_from_this(), name = row.name, where = row.http] {
+                    return poller->ask_target(name, where);
+                },
+                asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> report_poller::ask_target(std::string name, endpoint where)
+{
+    auto text = co_await this->get(where, "/load");
+    this->asked.erase(name);
+    const auto site = this->driver.site();
+    const auto target = config::find_target(site->model(), name);
+    const auto report = text && target ? read_load(*target, std::move(*text)) : std::nullopt;
+    if (!report) {
+        LOG4CPLUS_DEBUG(this->log, "No load report of " << name << ".");
+        co_return;
+    }
+    this->driver.report(*report);
+}
+
+asio::awaitable<void> report_poller::ask_platform(endpoint where)
+{
+    auto text = co_await this->get(where, "/list");
+    this->asked.erase("");
+    const auto site = this->driver.site();
+    const auto list = text && site ? read_platform(site->model(), std::move(*text)) : std::nullopt;
+    if (!list) {
+        LOG4CPLUS_DEBUG(this->log, "No list of the platform.");
+        co_return;
+    }
+    this->driver.platform(*list);
+}
+
+asio::awaitable<std::optional<std::string>> report_poller::get(endpoint where, const char* path)
+{
+    shell::http_request request{http::verb::get, path, 11};
+    const auto response = co_await shell::http_call(where, std::move(request), answer_limit);
+    if (!response || response->result() != http::status::ok) {
+        co_return std::nullopt;
+    }
+    co_return response->body();
+}
+
+} // namespace bth::entry
--- a/bth/entry/stream_hub.cpp
+++ b/bth/entry/stream_hub.cpp
@@ -266,6 +266,8 @@
     request.fields = owned(open.fields);
     request.timeout = open.timeout;
     request.repeatable = open.repeatable;
+    request.hops = open.hops;
+    request.retry = open.retry;
     request.first = owned(open.body, open.last);
     this->on_open(std::move(channel), std::move(request));
     return true;
--- a/bth/wire/stream_codec.h
+++ b/bth/wire/stream_codec.h
@@ -41,6 +41,9 @@
     // What is left of the request's time.
     std::chrono::microseconds timeout{};
     bool repeatable{};
+    // The fields of the same name of the arrival at the receiver.
+    std::uint8_t hops{};
+    bool retry{};
     byte_view body;
     bool last{};
 };
