--- a/bth/wire/steering_codec_test.cpp
+++ b/bth/wire/steering_codec_test.cpp
@@ -128,3 +128,16 @@
         CHECK_TRUE(read.well_formed || !read.message.has_value());
     }
 }
+
+TEST(steering_codec, a_shift_claim_keeps_its_slices)
+{
+    const steering::shift_claim claim{
+        service_id{1}, domain_id{0}, request_rate{40.0}, request_rate{10.0}, {{7, 5}, {9, 9}}};
+    const bytes payload = wire::encode_steering(example_model(false), claim);
+    const auto read = wire::decode_steering(example_model(true), payload);
+    const auto& got = std::get<steering::shift_claim>(read.message.value());
+    CHECK_TRUE(got.service == service_id{0});
+    CHECK_EQUAL(2U, got.history.size());
+    CHECK_EQUAL(7U, got.history.at(0).served);
+    CHECK_EQUAL(5U, got.history.at(0).kept);
+}
--- a/bth/wire/steering_decode.cpp
+++ b/bth/wire/steering_decode.cpp
@@ -229,7 +229,13 @@
         if (!id || !home) {
             return std::nullopt;
         }
-        return steering::shift_claim{*id, *home, settled, direct};
+        steering::shift_claim out{*id, *home, settled, direct, {}};
+        if (in.history() != nullptr) {
+            for (const fbs::shift_slice* slice : *in.history()) {
+                out.history.push_back({slice->served(), slice->kept()});
+            }
+        }
+        return out;
     }
 
     const config::model& model;
