--- a/bth/wire/steering_encode.cpp
+++ b/bth/wire/steering_encode.cpp
@@ -155,6 +155,7 @@
         const auto service = this->name(in.service);
         const auto home = this->name(in.home);
         std::vector<fbs::shift_slice> slices;
+        slices.reserve(in.history.size());
         for (const steering::shift_slice& each : in.history) {
             slices.emplace_back(each.served, each.kept);
         }
