Pass an operators' drain on to the hosts that haven't got the text yet

Cause: notices within a domain passed on the words of the platform and of targets, but not the drains of the text, so the host that got the text late kept on. Ruled out: lost notices and reports that take words back (a notice holds longer than its repeat interval). Change: a drain that has begun is passed on as long as it stands, often while it is new.

--- a/bth/steering/availability.cpp
+++ b/bth/steering/availability.cpp
@@ -52,7 +52,7 @@
         const bool begun = std::any_of(before.begin(), before.end(), [&](const drain_row& old) {
             return old.begun && change != nullptr && this->same_drain(old.drain, each, *change);
         });
-        this->drains.push_back({each, begun || each.from <= this->wall});
+        this->drains.push_back({each, begun || each.from <= this->wall, std::nullopt});
     }
     this->model = std::move(next);
     this->own = own_domain;
@@ -76,6 +76,9 @@
     // A drain that has begun goes on if the wall clock is set back.
     for (drain_row& each : this->drains) {
         each.begun = each.begun || each.drain.from <= now.wall;
+        if (each.begun && !each.begun_at) {
+            each.begun_at = now.monotonic;
+        }
     }
     for (host_row& each : this->hosts) {
         fade_notice(each.word, now.monotonic);
@@ -285,10 +288,24 @@
 }
 
 // A word heard second-hand is passed on only while it is new, so that two hosts never keep one
-// alive between them.
-bool availability::passes_on(const word_row& word, time_point now) const
+// alive between them. A drain in the text is passed on as long as it stands: a host that hasn't got
+// the text yet must stop all the same.
+template <class Id>
+availability::passed_word availability::passed(const word_row& word, Id subject,
+                                               time_point now) const
 {
-    return word.stands() && (word.first_hand() || now - word.first_word <= new_word_lasts);
+    passed_word out;
+    if (word.stands()) {
+        out.is_new = now - word.first_word <= new_word_lasts;
+        out.passes = word.first_hand() || out.is_new;
+    }
+    for (const drain_row& each : this->drains) {
+        if (each.begun_at && this->drain_covers(each.drain.subject, subject)) {
+            out.passes = true;
+            out.is_new = out.is_new || now - *each.begun_at <= new_word_lasts;
+        }
+    }
+    return out;
 }
 
 std::optional<leaving_notice> availability::due_notice(time_point now)
@@ -299,9 +316,13 @@
     leaving_notice notice;
     bool any_new = false;
     const auto collect = [&](const auto& row, auto id, auto& list) {
-        if (this->model->at(id).domain == this->own && this->passes_on(row.word, now)) {
+        if (this->model->at(id).domain != this->own) {
+            return;
+        }
+        const passed_word word = this->passed(row.word, id, now);
+        if (word.passes) {
             list.push_back(id);
-            any_new = any_new || now - row.word.first_word <= new_word_lasts;
+            any_new = any_new || word.is_new;
         }
     };
     for (std::size_t index = 0; index < this->targets.size(); ++index) {
--- a/bth/steering/availability.h
+++ b/bth/steering/availability.h
@@ -107,13 +107,21 @@
     struct drain_row {
         config::drain drain;
         bool begun{};
+        // When this host first saw that it had begun.
+        std::optional<time_point> begun_at;
+    };
+    // A word to pass on; `is_new` while it is to be repeated often.
+    struct passed_word {
+        bool passes{};
+        bool is_new{};
     };
 
     static void give(word_row& word, bool word_row::*source, time_point now);
     static void see_listed(word_row& word, bool alive, bool says_leaving, time_point now);
     static void take_back(word_row& word, time_point now);
     static void fade_notice(word_row& word, time_point now);
-    bool passes_on(const word_row& word, time_point now) const;
+    template <class Id>
+    passed_word passed(const word_row& word, Id subject, time_point now) const;
     bool drain_covers(const config::drain_subject& subject, target_id target) const;
     bool drain_covers(const config::drain_subject& subject, host_id host) const;
     bool drain_covers(const config::drain_subject& subject, domain_id domain) const;
--- a/bth/steering/availability_test.cpp
+++ b/bth/steering/availability_test.cpp
@@ -1,5 +1,6 @@
 #include "bth/steering/availability.h"
 
+#include "bth/steering/node.h"
 #include "bth/steering/testing/small_site.h"
 
 #include <CppUTest/TestHarness.h>
@@ -201,6 +202,30 @@
     CHECK_FALSE(host.known.leaving(target));
 }
 
+TEST(availability, a_host_without_the_text_learns_of_a_drain_and_of_its_end)
+{
+    view informed{with_drain(R"({"failure_domain":"a"})")};
+    view late;
+    informed.known.advance({informed.now, {}});
+    for (int step = 0; step < 40; ++step) {
+        informed.now += tick_interval;
+        late.now = informed.now;
+        if (const auto notice = informed.known.due_notice(informed.now)) {
+            late.known.take_notice(*notice, late.now);
+        }
+        late.known.take_report({target, 0, 3, false}, late.now);
+    }
+    CHECK_TRUE(late.known.leaving(target));
+    CHECK_TRUE(late.known.leaving(host_id{0}));
+    const auto undrained = testing::small_site();
+    const model_map change{*informed.model, *undrained};
+    informed.known.configure(undrained, own, &change);
+    late.now += 1min;
+    late.known.take_report({target, 0, 3, false}, late.now);
+    CHECK_FALSE(informed.known.due_notice(late.now).has_value());
+    CHECK_FALSE(late.known.leaving(target));
+}
+
 TEST(availability, a_drain_of_a_region_covers_all_in_it_and_nothing_else)
 {
     view host{with_drain(R"({"region":"near","from_unix_ms":0})")};
