--- a/bth/wire/steering_codec_test.cpp
+++ b/bth/wire/steering_codec_test.cpp
@@ -92,6 +92,25 @@
     CHECK_EQUAL(2U, got_over.busy.at(0).count);
 }
 
+TEST(steering_codec, shift_claim_keeps_its_history_in_order)
+{
+    const auto model = example_model(false);
+    steering::shift_claim claim;
+    claim.service = service_id{1};
+    claim.home = domain_id{1};
+    claim.settled = request_rate{8};
+    claim.history = {{5, 4}, {7, 0}};
+    const auto read = wire::decode_steering(model, wire::encode_steering(model, claim));
+    const auto& got = std::get<steering::shift_claim>(read.message.value());
+    CHECK_EQUAL(2U, got.history.size());
+    CHECK_EQUAL(5U, got.history.at(0).served);
+    CHECK_EQUAL(4U, got.history.at(0).kept);
+    CHECK_EQUAL(7U, got.history.at(1).served);
+
+    claim.history = {{1, 2}};
+    CHECK_FALSE(wire::decode_steering(model, wire::encode_steering(model, claim)).well_formed);
+}
+
 TEST(steering_codec, unknown_rows_leave_the_message_out_but_are_well_formed)
 {
     auto smaller = example_model(false);
--- a/bth/wire/steering_decode.cpp
+++ b/bth/wire/steering_decode.cpp
@@ -229,7 +229,18 @@
         if (!id || !home) {
             return std::nullopt;
         }
-        return steering::shift_claim{*id, *home, settled, direct};
+        return steering::shift_claim{*id, *home, settled, direct, this->history(in.history())};
+    }
+
+    std::vector<steering::shift_slice> history(const Vector<const fbs::shift_slice*>* rows)
+    {
+        std::vector<steering::shift_slice> out;
+        for (flatbuffers::uoffset_t i = 0; rows != nullptr && i < rows->size(); ++i) {
+            const fbs::shift_slice* row = rows->Get(i);
+            this->bad = this->bad || row->kept() > row->served();
+            out.push_back({row->served(), row->kept()});
+        }
+        return out;
     }
 
     const config::model& model;
--- a/bth/wire/steering_encode.cpp
+++ b/bth/wire/steering_encode.cpp
@@ -154,8 +154,14 @@
     {
         const auto service = this->name(in.service);
         const auto home = this->name(in.home);
+        std::vector<fbs::shift_slice> slices;
+        slices.reserve(in.history.size());
+        for (const steering::shift_slice& each : in.history) {
+            slices.emplace_back(each.served, each.kept);
+        }
+        const auto history = this->builder.CreateVectorOfStructs(slices);
         const auto table = fbs::Createshift_claim(this->builder, service, home, in.settled.value(),
-                                                  in.direct.value());
+                                                  in.direct.value(), history);
         return {fbs::steering_content::shift_claim, table.Union()};
     }
 };
