--- a/bth/control/main.cpp
+++ b/bth/control/main.cpp
@@ -74,11 +74,12 @@
         context, decider,
         std::make_shared<bth::distribution::publisher_driver>(context, link,
                                                               other_peers(settings)));
+    // The feed adds its relays, so the other control hosts come first.
+    link->set_peers(other_peers(settings));
     feed->start();
     if (const auto listening = link->listen(settings.peer); !listening) {
         return fail(listening.error());
     }
-    link->set_peers(other_peers(settings));
     const auto service = std::make_shared<bth::control::edit_service<Proposer>>(
         decider, settings.ids_kept,
         [feed](bth::control::control_status& status) { feed->complete(status); });
