Send unreliable targets only what may be repeated; join dependencies with heartbeats

And no heartbeat said, nor did the node hear, which services their owner can't serve.

The node tells its unable services in its heartbeats and takes other owners' words for services that it doesn't own.

--- a/bth/steering/dependencies_test.cpp
+++ b/bth/steering/dependencies_test.cpp
@@ -5,6 +5,8 @@
 
 #include <chrono>
 #include <memory>
+#include <variant>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -97,6 +99,21 @@
     }
 }
 
+TEST(dependencies, an_owner_says_in_its_heartbeats_what_cannot_serve)
+{
+    set_leaving(true);
+    std::vector<service_id> unable;
+    for (int step = 0; step < 20; ++step) {
+        now += tick_interval;
+        for (const send_message& each : all_of<send_message>(core.tick({now, {}}))) {
+            if (const auto* beat = std::get_if<heartbeat>(&each.message)) {
+                unable = beat->unable;
+            }
+        }
+    }
+    CHECK_TRUE(unable == (std::vector<service_id>{web, shop}));
+}
+
 TEST(dependencies, a_dependency_whose_every_target_fails_cannot_serve)
 {
     for (std::uint64_t id = 1; id <= 40; ++id) {
--- a/bth/steering/internal/node_state.h
+++ b/bth/steering/internal/node_state.h
@@ -145,6 +145,7 @@
     // Learns from the own targets which services can serve, for the services that depend on them
     // and for heartbeats.
     void refresh_needs(time_point now);
+    void hear_needs(const heartbeat& beat, time_point now);
 
     // Ownership of targets and grants between failure domains. (granting.cpp)
     void apply_grants(const model_map* change, time_point now, actions& out);
--- a/bth/steering/internal/target_row.cpp
+++ b/bth/steering/internal/target_row.cpp
@@ -201,6 +201,7 @@
     }
     this->grandfathered = std::min(this->grandfathered, this->in_flight);
     this->expected = this->expected_time(now);
+    this->unreliable = this->failure_share >= unreliable_share;
     this->probed_by_any = now - this->ejected_until >= probe_wait;
     if (this->closed || this->word.leaving || this->standing == target_standing::ejected) {
         this->limit = 0;
@@ -210,8 +211,7 @@
         this->limit = 1;
         return;
     }
-    const bool unreliable = this->failure_share >= unreliable_share;
-    const auto ramped = unreliable ? 1U : static_cast<std::uint32_t>(std::floor(this->ramp));
+    const auto ramped = this->unreliable ? 1U : static_cast<std::uint32_t>(std::floor(this->ramp));
     this->limit = std::min({this->slots, this->connections, ramped, this->limit_by_word(now)});
 }
 
--- a/bth/steering/internal/target_row.h
+++ b/bth/steering/internal/target_row.h
@@ -87,6 +87,8 @@
     // repeatable one.
     duration expected{};
     bool probed_by_any{};
+    // Whether so many tries fail that only what may be repeated should go here.
+    bool unreliable{};
     std::uint32_t connect_failures_in_row{};
 
     target_word word;
--- a/bth/steering/node.cpp
+++ b/bth/steering/node.cpp
@@ -73,12 +73,28 @@
 
 void node::state::refresh_needs(time_point now)
 {
+    std::vector<service_id> unable;
     for (std::size_t index = 0; this->ready() && index < this->model->services.size(); ++index) {
         const auto service = service_id::from_index(index);
-        if (this->owns(service, now)) {
-            this->needs.set_able(service, this->targets.can_serve(service, now));
+        if (!this->owns(service, now)) {
+            continue;
+        }
+        this->needs.set_able(service, this->targets.can_serve(service, now));
+        if (!this->needs.can_serve(service)) {
+            unable.push_back(service);
         }
     }
+    this->owners.set_unable(std::move(unable));
+}
+
+// Another owner's word about its services; what this host owns it knows better.
+void node::state::hear_needs(const heartbeat& beat, time_point now)
+{
+    heartbeat others = beat;
+    std::erase_if(others.owned, [&](service_id service) {
+        return service.index() >= this->model->services.size() || this->owns(service, now);
+    });
+    this->needs.take_heartbeat(others);
 }
 
 actions node::apply(std::shared_ptr<const config::model> next, revision number, clock_reading now)
@@ -113,6 +129,9 @@
     this->self->latest = now;
     if (this->self->ready() && from.index() < this->self->model->hosts.size()) {
         this->self->receive_standing(from, message, now);
+        if (const auto* beat = std::get_if<heartbeat>(&message)) {
+            this->self->hear_needs(*beat, now);
+        }
     }
     this->self->receive_grants(from, message, now, out);
     this->self->serve_queues(now, out);
--- a/bth/steering/target_table.cpp
+++ b/bth/steering/target_table.cpp
@@ -71,10 +71,14 @@
 {
     const service_rows& group = this->by_service.at(query.service.index());
     const duration slowest = group.fastest * slow_factor + query.patience;
+    const bool may_choose_unreliable = query.may_probe || !group.has_reliable;
     const target_row* best = nullptr;
     duration best_score{};
     for (const std::size_t index : group.rows) {
         const target_row& row = this->rows.at(index);
+        if (row.unreliable && !may_choose_unreliable) {
+            continue;
+        }
         if (!row.has_room() || contains(query.avoid, row.id)) {
             continue;
         }
@@ -192,10 +196,12 @@
 void target_table::refresh_fastest(service_rows& group) const
 {
     group.fastest = duration::max() / (slow_factor + 1);
+    group.has_reliable = false;
     for (const std::size_t index : group.rows) {
         const target_row& row = this->rows.at(index);
         if (row.limit > 0 && row.standing == target_standing::in_service) {
             group.fastest = std::min(group.fastest, row.mean_time);
+            group.has_reliable = group.has_reliable || !row.unreliable;
         }
     }
 }
--- a/bth/steering/target_table.h
+++ b/bth/steering/target_table.h
@@ -86,6 +86,8 @@
         std::vector<std::size_t> rows;
         // The time that the fastest target in service takes.
         duration fastest{};
+        // Whether some target in service isn't unreliable.
+        bool has_reliable{};
     };
 
     internal::target_row* find(target_id target);
--- a/bth/steering/target_table_test.cpp
+++ b/bth/steering/target_table_test.cpp
@@ -245,6 +245,12 @@
     }
     CHECK_EQUAL(1, targets.limit(one));
     CHECK_TRUE(choose() == two);
+    // Of the requests that wait for the other one, only those that may be repeated come to it.
+    for (int count = 0; count < 3; ++count) {
+        targets.begin(two, now);
+    }
+    CHECK_FALSE(choose(false).has_value());
+    CHECK_TRUE(choose(true) == one);
 }
 
 TEST(target_table, tries_of_a_former_owner_take_slots)
