--- a/bth/wire/steering_decode.cpp
+++ b/bth/wire/steering_decode.cpp
@@ -220,16 +220,6 @@
             this->each<host_id>(in.hosts(), [&](const String* name) { return this->host(name); })};
     }
 
-    static std::vector<steering::shift_slice> slices_of(const Vector<const fbs::shift_slice*>* rows)
-    {
-        std::vector<steering::shift_slice> out;
-        for (flatbuffers::uoffset_t i = 0; rows != nullptr && i < rows->size(); ++i) {
-            const fbs::shift_slice* row = rows->Get(i);
-            out.push_back({row->served(), row->kept()});
-        }
-        return out;
-    }
-
     std::optional<steering::peer_message> read_claim(const fbs::shift_claim& in)
     {
         const auto id = this->service(in.service());
@@ -239,7 +229,13 @@
         if (!id || !home) {
             return std::nullopt;
         }
-        return steering::shift_claim{*id, *home, settled, direct, slices_of(in.history())};
+        steering::shift_claim out{*id, *home, settled, direct, {}};
+        if (in.history() != nullptr) {
+            for (const fbs::shift_slice* slice : *in.history()) {
+                out.history.push_back({slice->served(), slice->kept()});
+            }
+        }
+        return out;
     }
 
     const config::model& model;
