Let the publisher alone set the control link's peers

Ruled out: a load-dependent timeout (the entry hosts' logs show no connection of control). Change: publisher_driver sets the other control hosts at its start and adds the relays later; main sets none.

--- a/bth/control/main.cpp
+++ b/bth/control/main.cpp
@@ -78,7 +78,6 @@
     if (const auto listening = link->listen(settings.peer); !listening) {
         return fail(listening.error());
     }
-    link->set_peers(other_peers(settings));
     const auto service = std::make_shared<bth::control::edit_service<Proposer>>(
         decider, settings.ids_kept,
         [feed](bth::control::control_status& status) { feed->complete(status); });
--- a/bth/distribution/publisher_driver.cpp
+++ b/bth/distribution/publisher_driver.cpp
@@ -32,6 +32,7 @@
             return self == nullptr || self->receive(from, payload);
         });
     }
+    this->link->set_peers(this->other_peers);
     this->schedule_tick();
 }
 
--- a/bth/distribution/publisher_driver.h
+++ b/bth/distribution/publisher_driver.h
@@ -23,7 +23,8 @@
 
 class publisher_driver : public std::enable_shared_from_this<publisher_driver> {
 public:
-    // `other_peers` are those that the link stays connected with besides the relays.
+    // `other_peers` are those that the link stays connected with besides the relays. The driver
+    // alone sets the link's peers from its start on.
     publisher_driver(boost::asio::io_context& context, std::shared_ptr<shell::peer_link> link,
                      std::vector<shell::peer_address> other_peers);
 
--- a/process_tests/distribution_test.py
+++ b/process_tests/distribution_test.py
@@ -139,7 +139,8 @@
         metrics = harness.call(self.admin["entry-e-2-a"], "GET", "/metrics")[2].decode()
         self.assertIn("bth_control_cut_off 1", metrics)
         self.start_control()
-        self.assertEqual(self.submit("--wait")[0], OK)
+        code, out, _ = self.submit("--wait")
+        self.assertEqual(code, OK, out)
 
     def test_a_host_that_was_frozen_during_edits_catches_up(self):
         self.start_all()
