--- a/bth/entry/peer_try.h
+++ b/bth/entry/peer_try.h
@@ -86,6 +86,8 @@
         request.timeout = std::chrono::duration_cast<std::chrono::microseconds>(
             this->where.deadline - shell::monotonic_now());
         request.repeatable = this->names.repeatable;
+        request.hops = this->where.hops;
+        request.retry = this->where.retry;
         request.body = first.bytes;
         request.last = first.last;
         return this->hub.open(this->where.host, request);
--- a/bth/steering/flow.cpp
+++ b/bth/steering/flow.cpp
@@ -45,9 +45,6 @@
     if (!this->ready()) {
         return refusal{refusal_reason::not_configured};
     }
-    if (this->stopping) {
-        return refusal{refusal_reason::shutting_down};
-    }
     if (request.service.index() >= this->model->services.size()) {
         return refusal{refusal_reason::unknown_service};
     }
@@ -62,7 +59,9 @@
 std::optional<refusal> node::state::check_available(const arrival& request, time_point now) const
 {
     (void)request;
-    (void)now;
+    if (const auto why = this->refuses_all(now)) {
+        return refusal{*why};
+    }
     return std::nullopt;
 }
 
--- a/bth/steering/lookup_policy.cpp
+++ b/bth/steering/lookup_policy.cpp
@@ -198,7 +198,8 @@
 
 domain_id lookup_policy::leading_domain(const lookup_query& query, time_point now)
 {
-    if (this->has(this->place(query.home, query.service), host_listing::listed)) {
+    const place_row& home = this->place(query.home, query.service);
+    if (this->has(home, host_listing::listed) || this->has(home, host_listing::spare)) {
         return query.home;
     }
     return this->domain_with_room(query, now).value_or(query.home);
@@ -212,12 +213,12 @@
     place_row& row = this->place(leading, query.service);
     expire(row, now);
     this->append(row, host_listing::listed, leading_hosts, result.hosts);
-    if (result.hosts.empty()) {
-        this->append(row, host_listing::spare, leading_hosts, result.hosts);
-    }
-    for (const domain_id domain : this->model->at(query.home).fallbacks) {
-        if (domain != leading && result.hosts.size() < most_hosts) {
-            this->append(this->place(domain, query.service), host_listing::listed, 1, result.hosts);
+    this->append(row, host_listing::spare, leading_hosts - result.hosts.size(), result.hosts);
+    for (const host_listing listing : {host_listing::listed, host_listing::spare}) {
+        for (const domain_id domain : this->model->at(query.home).fallbacks) {
+            if (domain != leading && result.hosts.size() < most_hosts) {
+                this->append(this->place(domain, query.service), listing, 1, result.hosts);
+            }
         }
     }
     if (result.hosts.empty()) {
