--- a/process_tests/entry_faults_test.py
+++ b/process_tests/entry_faults_test.py
@@ -187,6 +187,7 @@
             ({"host": taken["name"], "text_file": path + ".none"}, "can't read"),
             ({"host": taken["name"], "text_file": path, "hots": 1}, 'unknown key "hots"'),
             ({"text_file": path}, 'key "host" is missing'),
+            ({"host": taken["name"]}, "neither \"text_file\" nor \"failure_domain\""),
         ]
         for number, (settings, expected) in enumerate(table):
             settings_path = self.write(f"bad-{number}.json", settings)
