--- a/bth/bench/internal/world_faults.h
+++ b/bth/bench/internal/world_faults.h
@@ -241,7 +241,9 @@
 template <decider Decider>
 void world<Decider>::drain_domain(domain_id domain, int late_host)
 {
-    auto next = std::make_shared<config::model>(this->model);
+    // A later drain leaves the earlier ones in the text.
+    auto next =
+        std::make_shared<config::model>(this->drained_model ? *this->drained_model : this->model);
     next->drains.push_back({domain, this->clocks().wall});
     this->drained_model = next;
     for (std::uint32_t index = 0; index < this->hosts.size(); ++index) {
--- a/bth/bench/internal/world_hosts.h
+++ b/bth/bench/internal/world_hosts.h
@@ -282,7 +282,7 @@
 {
     host_row& host = this->hosts[id.index()];
     host.model = this->drained_model;
-    host.number = revision{2};
+    host.number = revision{1 + host.model->drains.size()};
     this->say([&] { return this->model.at(id).name + " takes the operators' new text"; });
     for (const config::drain& each : host.model->drains) {
         const auto* domain = std::get_if<domain_id>(&each.subject);
--- a/bth/ctl/commands.cpp
+++ b/bth/ctl/commands.cpp
@@ -64,7 +64,8 @@
     if (code != exit_code::ok || !options.wait) {
         return code;
     }
-    return wait_for_hosts(std::cout, client, accepted_version(result), common.limit, common.form);
+    return wait_for_hosts(std::cout, common.control, accepted_version(result), common.limit,
+                          common.form);
 }
 
 // The version now, as the first control host that answers knows it.
--- a/bth/ctl/confirmation.cpp
+++ b/bth/ctl/confirmation.cpp
@@ -80,14 +80,31 @@
     return out;
 }
 
-exit_code wait_for_hosts(std::ostream& out, const control_client& client, revision wanted,
+namespace {
+
+// Only the leader knows what the hosts confirmed: asks each control host until one does.
+unconfirmed_hosts ask_all(const std::vector<endpoint>& control, revision wanted, duration limit)
+{
+    unconfirmed_hosts missing;
+    for (const endpoint& where : control) {
+        const call_result result = control_client{{where}, limit, 1}.get("/status");
+        missing = unconfirmed(result.response ? result.response->body() : "", wanted);
+        if (missing.known) {
+            break;
+        }
+    }
+    return missing;
+}
+
+} // namespace
+
+exit_code wait_for_hosts(std::ostream& out, const std::vector<endpoint>& control, revision wanted,
                          duration limit, output_form form)
 {
     const time_point deadline = shell::monotonic_now() + limit;
     unconfirmed_hosts missing;
     while (true) {
-        const call_result result = client.get("/status");
-        missing = unconfirmed(result.response ? result.response->body() : "", wanted);
+        missing = ask_all(control, wanted, limit);
         const bool done = missing.known && missing.hosts.empty();
         if (done || shell::monotonic_now() >= deadline) {
             break;
--- a/bth/ctl/confirmation.h
+++ b/bth/ctl/confirmation.h
@@ -1,6 +1,6 @@
 // Waits until the hosts have confirmed that an accepted version is in force.
 //
-//   return wait_for_hosts(std::cout, client, revision{5}, limit, form);
+//   return wait_for_hosts(std::cout, control, revision{5}, limit, form);
 #pragma once
 
 #include "bth/base/ids.h"
@@ -25,8 +25,9 @@
 };
 unconfirmed_hosts unconfirmed(const std::string& status, revision wanted);
 
-// Asks for the status until no host is missing or `limit` has passed, and prints which hosts are.
-exit_code wait_for_hosts(std::ostream& out, const control_client& client, revision wanted,
+// Asks the control hosts for their status until no host is missing or `limit` has passed, and
+// prints which hosts are.
+exit_code wait_for_hosts(std::ostream& out, const std::vector<endpoint>& control, revision wanted,
                          duration limit, output_form form);
 
 } // namespace bth::ctl
--- a/bth/membership/spread_measurement.cpp
+++ b/bth/membership/spread_measurement.cpp
@@ -248,7 +248,8 @@
     }
     const bool quick = words.size() == 1 && words[0] == "--quick";
     if (!words.empty() && !quick) {
-        std::cerr << "usage: bth-measure-spread [--quick | --count HOSTS DOMAINS BLOCKS IDLE EDITS]\n";
+        std::cerr
+            << "usage: bth-measure-spread [--quick | --count HOSTS DOMAINS BLOCKS IDLE EDITS]\n";
         return EXIT_FAILURE;
     }
     constexpr int quick_hosts = 180;
--- a/process_tests/consensus_test.py
+++ b/process_tests/consensus_test.py
@@ -100,6 +100,15 @@
             self.assertEqual(self.ask(host, "GET", "/text")[0], 200)
             self.wait_for(host, 3)
 
+    def test_wait_asks_the_leader_whichever_control_host_stands_first(self):
+        text = self.write("site.json", self.site)
+        followers = [host for host in HOSTS if host != self.leader()]
+        control = ",".join(self.http(host) for host in [*followers, self.leader()])
+        code, out, _ = self.run_program("bthctl", "submit", text, "--expect-version", "0",
+                                        "--control", control, "--wait", "--timeout-ms", "1000")
+        self.assertEqual(code, 7, out)
+        self.assertIn("not confirmed by:\n  entry-one\n  entry-two\n", out)
+
     def test_leader_killed_during_submits_loses_no_accepted_edit(self):
         done = threading.Event()
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -60,15 +61,15 @@
                 for number in range(1, CONTROL_COUNT + 1)]
 
     def start_control(self):
+        """Three control hosts; the first start of a group says so by --found."""
         members = self.control_hosts()
         for row in members:
             data = self.folder / row["host"]
             data.mkdir()
             settings = {"host": row["host"], "data_folder": str(data), "http": row["http"],
-                        "peer": row["peer"],
-                        "members": members,
+                        "peer": row["peer"], "members": members,
                         "log": {"file": str(self.folder / f"{row['host']}.log")}}
-            self.start(row["host"], BINARIES / "bth-control", "--settings",
+            self.start(row["host"], BINARIES / "bth-control", "--found",
                        self.settings_file(row["host"], settings))
 
     def start_targets(self):
@@ -81,17 +82,40 @@
         return platform
 
     def start_entries(self, platform):
-        control = [row["peer"] for row in self.control_hosts()]
+        """Entry hosts without a text: they get it from the control hosts."""
         for number, row in enumerate(self.site["hosts"]):
             data = self.folder / row["name"]
             data.mkdir()
-            settings = {"host": row["name"], "text_file": str(self.text_file),
+            seeds = [{"host": each["name"], "peer": each["peer"]} for each in self.site["hosts"]
+                     if each["failure_domain"] == row["failure_domain"] and each is not row]
+            settings = {"host": row["name"], "failure_domain": row["failure_domain"],
+                        "http": row["http"], "peer": row["peer"], "seeds": seeds,
                         "data_folder": str(data), "platform": platform,
                         "admin": f"127.{self.net}.0.{101 + number}:8071",
                         "log": {"file": str(self.folder / f"{row['name']}.log")}}
             self.start(row["name"], BINARIES / "bth-entry", "--settings",
                        self.settings_file(row["name"], settings))
-        return control
+
+    def bthctl(self, *arguments):
+        """Runs bthctl against the control hosts; prints what it says."""
+        control = ",".join(row["http"] for row in self.control_hosts())
+        done = subprocess.run([str(BINARIES / "bthctl"), *arguments, "--control", control],
+                              stdout=subprocess.PIPE, check=False)
+        print(f"bthctl {' '.join(arguments[:3])}: exit {done.returncode}",
+              done.stdout.decode().strip(), sep="\n")
+        return done.returncode
+
+    def wait_until_served(self):
+        """Waits until every service is served in every failure domain: a host that has just
+        started waits until a lease of an earlier owner would have run out."""
+        deadline = time.monotonic() + READY_SECONDS
+        waiting = [(row["http"], service["name"]) for row in self.site["hosts"]
+                   for service in self.site["services"]]
+        while waiting and time.monotonic() < deadline:
+            waiting = [each for each in waiting if not served(*each)]
+            time.sleep(0.2)
+        if waiting:
+            sys.exit(f"demo: not served: {waiting}")
 
     def load(self, *extra):
         classes = []
@@ -117,31 +141,43 @@
         return codes
 
 
-def metric_sum(endpoint, name):
-    with urllib.request.urlopen(f"http://{endpoint}/metrics", timeout=5) as answer:
-        text = answer.read().decode()
-    rows = re.findall(rf"^{name}(?:{{[^}}]*}})? ([0-9.e+]+)$", text, flags=re.M)
-    return sum(float(value) for value in rows)
+def served(endpoint, service):
+    request = urllib.request.Request(f"http://{endpoint}/item/probe", headers={"Host": service})
+    try:
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return answer.status == 200
+    except OSError:
+        return False
 
 
 def main():
     deployment = Deployment(sys.argv[1])
+    problems = 0
     try:
         deployment.start_control()
         platform = deployment.start_targets()
         deployment.start_entries(platform)
         deployment.wait_ready()
-        count = len(deployment.processes)
-        print(f"Running: {count} processes, {len(deployment.site['hosts'])} entry hosts, "
+        print(f"Running: {len(deployment.processes)} processes, "
+              f"{len(deployment.site['hosts'])} entry hosts, {CONTROL_COUNT} control hosts, "
               f"{len(deployment.site['targets'])} targets.")
-        print(f"Sending {LOAD_REQUESTS_PER_SECOND} requests/s for {LOAD_SECONDS} s.")
-        report = deployment.load().communicate()[0].decode()
-        print(report)
+        problems += deployment.bthctl("submit", str(deployment.text_file), "--expect-version",
+                                      "0", "--wait")
+        deployment.wait_until_served()
+        print(f"\nSending {LOAD_REQUESTS_PER_SECOND} requests/s for {LOAD_SECONDS} s; a failure "
+              "domain is drained in the middle.")
+        load = deployment.load()
+        time.sleep(LOAD_SECONDS / 2)
+        drained = deployment.site["failure_domains"][-1]["name"]
+        problems += deployment.bthctl("drain", "failure-domain", drained, "--wait")
+        print()
+        print(load.communicate()[0].decode())
+        problems += load.returncode
     finally:
         codes = deployment.stop()
     unclean = {name: code for name, code in codes.items() if code != 0}
     print("All processes stopped." if not unclean else f"Unclean exits: {unclean}")
-    return 1 if unclean else 0
+    return 1 if unclean or problems else 0
 
 
 if __name__ == "__main__":
