--- /dev/null
+++ b/bth/steering/internal/assignment.cpp
@@ -0,0 +1,42 @@
+#include "bth/steering/internal/assignment.h"
+
+#include <algorithm>
+
+namespace bth::steering::internal {
+
+namespace {
+
+// The domain that serves callers of `home` by the text alone: the home, or its first fallback that
+// has targets of the service.
+domain_id assigned_domain(const config::model& model, service_id service, domain_id home)
+{
+    const auto serves = [&](domain_id domain) {
+        return std::any_of(
+            model.targets.begin(), model.targets.end(), [&](const config::target& each) {
+                return each.service == service && each.domain == domain && each.slots > 0;
+            });
+    };
+    if (serves(home)) {
+        return home;
+    }
+    const auto& fallbacks = model.at(home).fallbacks;
+    const auto found = std::find_if(fallbacks.begin(), fallbacks.end(), serves);
+    return found == fallbacks.end() ? home : *found;
+}
+
+} // namespace
+
+std::vector<domain_id> assignment_of(const config::model& model)
+{
+    std::vector<domain_id> assigned;
+    assigned.reserve(model.services.size() * model.domains.size());
+    for (std::size_t service = 0; service < model.services.size(); ++service) {
+        for (std::size_t home = 0; home < model.domains.size(); ++home) {
+            assigned.push_back(assigned_domain(model, service_id::from_index(service),
+                                               domain_id::from_index(home)));
+        }
+    }
+    return assigned;
+}
+
+} // namespace bth::steering::internal
--- a/bth/steering/shift_limiter.cpp
+++ b/bth/steering/shift_limiter.cpp
@@ -1,5 +1,8 @@
 #include "bth/steering/shift_limiter.h"
 
+#include "bth/steering/internal/assignment.h"
+#include "bth/steering/internal/shift_claims.h"
+
 #include <algorithm>
 #include <cmath>
 #include <string_view>
@@ -7,51 +10,13 @@
 
 namespace bth::steering {
 
+using namespace internal;
+
 namespace {
 
-constexpr std::size_t slices_per_quarter = shift_limiter::slices_per_window / 4;
-// A claim older than this tells nothing of callers who come by themselves.
-constexpr duration claim_fresh_for = std::chrono::seconds{3};
-constexpr duration claim_interval = std::chrono::seconds{1};
 // The most requests that a home owes at once to another domain, as time at the claimed rate.
 constexpr duration longest_debt = std::chrono::seconds{1};
 
-double seconds(duration span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
-// The domain that serves callers of `home` by the text alone: the home, or its first fallback that
-// has targets of the service.
-domain_id assigned_domain(const config::model& model, service_id service, domain_id home)
-{
-    const auto serves = [&](domain_id domain) {
-        return std::any_of(
-            model.targets.begin(), model.targets.end(), [&](const config::target& each) {
-                return each.service == service && each.domain == domain && each.slots > 0;
-            });
-    };
-    if (serves(home)) {
-        return home;
-    }
-    const auto& fallbacks = model.at(home).fallbacks;
-    const auto found = std::find_if(fallbacks.begin(), fallbacks.end(), serves);
-    return found == fallbacks.end() ? home : *found;
-}
-
-std::vector<domain_id> assignment_of(const config::model& model)
-{
-    std::vector<domain_id> assigned;
-    assigned.reserve(model.services.size() * model.domains.size());
-    for (std::size_t service = 0; service < model.services.size(); ++service) {
-        for (std::size_t home = 0; home < model.domains.size(); ++home) {
-            assigned.push_back(assigned_domain(model, service_id::from_index(service),
-                                               domain_id::from_index(home)));
-        }
-    }
-    return assigned;
-}
-
 // The rows of `table` under the ids of `to`; those whose domain is gone are left out.
 template <class Row>
 std::map<domain_id, Row> renamed(const std::map<domain_id, Row>& table, const config::model& from,
@@ -66,12 +31,6 @@
     return result;
 }
 
-double owed_rate(const shift_claim& claim, duration age)
-{
-    const double direct = age <= claim_fresh_for ? claim.direct.value() : 0.0;
-    return std::max(0.0, claim.settled.value() - direct);
-}
-
 } // namespace
 
 void shift_limiter::configure(std::shared_ptr<const config::model> next, domain_id own_domain,
@@ -224,7 +183,7 @@
 
 bool shift_limiter::is_own(service_id service, domain_id home) const
 {
-    const std::size_t at = service.index() * this->model->domains.size() + home.index();
+    const std::size_t at = assignment_index(*this->model, service, home);
     return this->assigned.at(at) == this->own;
 }
 
@@ -378,80 +337,6 @@
     take_one(moved ? row.moved : home->second.kept);
 }
 
-void shift_limiter::receive(domain_id from, const shift_claim& claim, time_point now)
-{
-    service_row& row = this->row_at(claim.service, now);
-    if (from == this->own) {
-        row.inherited[claim.home] = {claim, now};
-        return;
-    }
-    if (!this->is_own(claim.service, claim.home)) {
-        return;
-    }
-    this->accrue_debts(row, now);
-    debt_row& debt = row.debts[from];
-    // Callers who came back by themselves before this claim could say so were shifts, too.
-    const double come_back = owed_rate(claim, {}) - owed_rate(debt.last.claim, {});
-    const double unseen_for = seconds(std::min(now - debt.last.at, claim_interval));
-    if (come_back > 0.0 && debt.last.claim.settled.value() > 0.0 && row.owned) {
-        const auto slot = static_cast<std::size_t>(row.current) % ring_size;
-        row.moved.at(slot) += static_cast<std::uint32_t>(std::ceil(come_back * unseen_for));
-    }
-    debt.last = {claim, now};
-}
-
-std::vector<shift_slice> shift_limiter::history_of(const service_row& row, const home_row& home)
-{
-    std::vector<shift_slice> history(ring_size);
-    for (std::size_t back = 0; back < ring_size; ++back) {
-        const auto served = static_cast<std::uint32_t>(recent(row, home.served, back, 1));
-        const auto kept = static_cast<std::uint32_t>(recent(row, home.kept, back, 1));
-        history.at(back) = {served, kept};
-    }
-    return history;
-}
-
-void shift_limiter::collect_claims(service_id service, service_row& row, time_point now,
-                                   std::vector<addressed_claim>& due) const
-{
-    advance(row, now);
-    const double quarter = seconds(row.slice) * static_cast<double>(slices_per_quarter);
-    for (auto& [home, counts] : row.homes) {
-        if (this->is_own(service, home)) {
-            continue;
-        }
-        const auto settled = static_cast<double>(settled_per_quarter(row, counts));
-        if (settled > 0.0) {
-            counts.claimed = now;
-        }
-        // Claims of nothing end the earlier ones; some may get lost.
-        if (!counts.claimed || now - *counts.claimed > row.window) {
-            continue;
-        }
-        const double direct =
-            static_cast<double>(recent(row, counts.direct, 1, 1)) / seconds(row.slice);
-        shift_claim claim{service, home, request_rate{settled / quarter}, request_rate{direct}, {}};
-        const std::size_t at = service.index() * this->model->domains.size() + home.index();
-        due.push_back({this->assigned.at(at), claim});
-        claim.history = history_of(row, counts);
-        due.push_back({this->own, std::move(claim)});
-    }
-}
-
-std::vector<addressed_claim> shift_limiter::tick(time_point now)
-{
-    std::vector<addressed_claim> due;
-    for (std::size_t index = 0; index < this->services.size(); ++index) {
-        service_row& row = this->services.at(index);
-        if (!row.owned || now - row.claims_sent < claim_interval) {
-            continue;
-        }
-        row.claims_sent = now;
-        this->collect_claims(service_id::from_index(index), row, now, due);
-    }
-    return due;
-}
-
 shift_account shift_limiter::account(service_id service, time_point now)
 {
     const service_row& row = this->row_at(service, now);
