Let a keyed request run at most once across its caller's resends

Cause: bth/once stood beside bth-entry without being asked, so that a caller's resend of a payment was a new request. Ruled out: forwarding a resend to the key's host under the present grants, since a forwarded request must draw on a grant and could be refused for lack of one. Change: look-up answers carry an idempotency prefix (and are private), the host that gave it asks its records before a keyed request runs, replays small answers, and refuses the rest truthfully; other hosts name the key's host in Bth-Key-Host.

--- a/bth/entry/caller_session.cpp
+++ b/bth/entry/caller_session.cpp
@@ -193,8 +193,10 @@
     boost::system::error_code error;
     const auto remote = shell::from_asio(this->stream.socket().remote_endpoint(error));
     this->owner->services.metrics.count_lookup();
-    auto response = answer_lookup(this->owner->services.driver, site, remote.address,
-                                  view(this->own_head.target()), view(this->own_head[key_field]));
+    const std::string prefix = this->owner->services.records.prefix(shell::monotonic_now());
+    auto response =
+        answer_lookup(this->owner->services.driver, site, remote.address,
+                      view(this->own_head.target()), view(this->own_head[key_field]), prefix);
     const bool sent = co_await this->send_whole(std::move(response));
     if (!sent) {
         co_return false;
@@ -218,20 +220,53 @@
     const request_names names{site.model().at(service).name,
                               site.model().at(request.caller_class).name,
                               site.model().at(request.home).name, request.repeatable};
-    strip_request_fields(this->own_head);
     services.metrics.count_arrival();
+    const bool runs = co_await this->may_run(request, names);
+    if (!runs) {
+        co_return co_await this->end_exchange();
+    }
+    strip_request_fields(this->own_head);
     this->orders = std::make_shared<request_orders>(services.executor);
     if (!this->body_follows) {
         this->watch_caller();
     }
     const serve_end end = co_await serve(services, *this, this->orders, request, names);
     this->orders.reset();
+    if (this->keyed) {
+        this->keyed->end(shell::monotonic_now());
+        this->keyed.reset();
+    }
     if (end != serve_end::answered) {
         co_return false;
     }
     co_return co_await this->end_exchange();
 }
 
+asio::awaitable<bool> caller_session::may_run(const steering::arrival& request,
+                                              const request_names& names)
+{
+    const std::string key{view(this->own_head[idempotency_field])};
+    if (request.repeatable || key.empty()) {
+        co_return true;
+    }
+    const std::string identity = names.service + '\n' + names.caller_class + '\n' +
+                                 std::string{view(this->own_head.method_string())} + '\n' +
+                                 std::string{view(this->own_head.target())};
+    entry_services& services = this->owner->services;
+    this->keyed.emplace(services.records, key);
+    const once::verdict verdict = this->keyed->begin(identity, shell::monotonic_now());
+    if (verdict.what == once::decision::run) {
+        co_return true;
+    }
+    this->keyed.reset();
+    if (verdict.what != once::decision::replay) {
+        services.metrics.count_refusal(verdict.reason);
+    }
+    const bool sent = co_await this->send_whole(answer_without_run(verdict));
+    this->keep_alive = this->keep_alive && sent;
+    co_return false;
+}
+
 // Whether another request may follow on the connection.
 asio::awaitable<bool> caller_session::end_exchange()
 {
@@ -257,6 +292,9 @@
 
 asio::awaitable<bool> caller_session::refuse(const refusal_order& refusal)
 {
+    if (this->keyed) {
+        this->keyed->take_refusal(refusal.run);
+    }
     co_return co_await this->send_whole(
         make_refusal(http_1_1, refusal.reason, refusal.run, refusal.retry_after));
 }
@@ -324,6 +362,9 @@
 
 asio::awaitable<bool> caller_session::begin_answer(answer_start& start)
 {
+    if (this->keyed) {
+        this->keyed->take_head(start.head);
+    }
     this->answer.emplace();
     this->answer->base() = std::move(start.head);
     this->answer->version(http_1_1);
@@ -349,6 +390,9 @@
 
 asio::awaitable<bool> caller_session::continue_answer(const body_chunk& part)
 {
+    if (this->keyed) {
+        this->keyed->take_part(part);
+    }
     auto& body = this->answer->body();
     body.data = part.bytes.empty() ? nullptr : part.bytes.data();
     body.size = part.bytes.size();
--- a/bth/entry/caller_session.h
+++ b/bth/entry/caller_session.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "bth/entry/caller_server.h"
+#include "bth/entry/keyed_request.h"
 #include "bth/entry/request_body.h"
 #include "bth/entry/serve.h"
 
@@ -50,6 +51,9 @@
     boost::asio::awaitable<bool> serve_lookup(const site_index& site);
     boost::asio::awaitable<bool> serve_request(const site_index& site, service_id service,
                                                duration timeout);
+    // Whether the request may run, as far as its idempotency key goes; if not, it gets its answer.
+    boost::asio::awaitable<bool> may_run(const steering::arrival& request,
+                                         const request_names& names);
     boost::asio::awaitable<bool> refuse_here(refusal_reason reason);
     boost::asio::awaitable<bool> send_whole(whole_answer answer);
     boost::asio::awaitable<bool> end_exchange();
@@ -68,6 +72,8 @@
     std::vector<std::uint8_t> chunk;
     // The request under way.
     std::shared_ptr<request_orders> orders;
+    // Set while a request with an idempotency key runs.
+    std::optional<keyed_request> keyed;
     bool body_follows{};
     bool expects_continue{};
     bool keep_alive{};
--- a/bth/entry/entry_process.cpp
+++ b/bth/entry/entry_process.cpp
@@ -49,8 +49,10 @@
                     const steering::peer_message& message) {
                  this->send_steering(model, host, message);
              }},
-      targets{context.get_executor()}, services{context.get_executor(), this->driver, this->targets,
-                                                *this->streams, this->metrics},
+      targets{context.get_executor()}, records{{.host_name = this->settings.host,
+                                                .life = this->link->life()}},
+      services{context.get_executor(), this->driver,  this->targets,
+               *this->streams,         this->metrics, this->records},
       callers{std::make_shared<caller_server>(this->services, this->settings.limits)}, tick_timer{
                                                                                            context}
 {}
--- a/bth/entry/lookup.cpp
+++ b/bth/entry/lookup.cpp
@@ -27,7 +27,8 @@
 }
 
 // Names of the configuration need no escapes in JSON: the text's reader refuses others.
-std::string to_json(const site_index& site, const steering::lookup_answer& found, domain_id home)
+std::string to_json(const site_index& site, const steering::lookup_answer& found, domain_id home,
+                    std::string_view key_prefix)
 {
     std::string out = R"({"hosts":[)";
     for (const host_id each : found.hosts) {
@@ -35,14 +36,15 @@
         out += to_string(site.model().at(each).http) + '"';
     }
     out += R"(],"domain":")" + site.model().at(home).name + R"(","revision":)" +
-           std::to_string(site.number().value()) + "}\n";
+           std::to_string(site.number().value()) + R"(,"idempotency_prefix":")" +
+           std::string{key_prefix} + "\"}\n";
     return out;
 }
 
 } // namespace
 
 whole_answer answer_lookup(steering_driver& driver, const site_index& site, ipv4_address from,
-                           std::string_view path, std::string_view key)
+                           std::string_view path, std::string_view key, std::string_view key_prefix)
 {
     const auto service = site.service_named(service_parameter(path));
     if (!service) {
@@ -56,8 +58,9 @@
     }
     whole_answer answer{http::status::ok, http_1_1};
     answer.set(http::field::content_type, "application/json");
-    answer.set(http::field::cache_control, "max-age=" + std::to_string(found.max_age.count()));
-    answer.body() = to_json(site, found, home);
+    answer.set(http::field::cache_control,
+               "private, max-age=" + std::to_string(found.max_age.count()));
+    answer.body() = to_json(site, found, home, key_prefix);
     return answer;
 }
 
