--- /dev/null
+++ b/bth/dispatch/placement.cpp
@@ -0,0 +1,176 @@
+#include "bth/dispatch/placement.h"
+
+#include <algorithm>
+#include <optional>
+
+#include <xxhash.h>
+
+namespace bth::dispatch {
+
+namespace {
+
+// The round trip to a target, by where it is: the platform's links take 0.2 to 1 ms a way inside a
+// region and 20 ms between regions.
+constexpr fractional_ms way_in_domain{0.5};
+constexpr fractional_ms way_in_region{2.0};
+constexpr fractional_ms way_between_regions{42.0};
+
+// The weight of a new answer in the estimate of work: some twenty answers count.
+constexpr double answer_weight = 0.05;
+
+// A target that sheds is avoided as if its queue were longer by its shed share of this much.
+constexpr fractional_ms shed_penalty{400.0};
+// A target that failed last is avoided in favour of others unless they are much later.
+constexpr fractional_ms failure_penalty{250.0};
+
+// The queue that a request of the first priority may join, as a share of its time; each lower
+// priority may use this much less of it, so that the urgent ones are refused last.
+constexpr double queue_share = 0.85;
+constexpr double queue_share_step = 0.08;
+constexpr double least_queue_share = 0.4;
+
+struct candidate {
+    placement found;
+    fractional_ms cost{};
+    std::uint64_t rank{};
+};
+
+bool allowed(const placement_question& question, std::string_view region)
+{
+    return question.allowed_regions == nullptr || question.allowed_regions->empty() ||
+           std::find(question.allowed_regions->begin(), question.allowed_regions->end(), region) !=
+               question.allowed_regions->end();
+}
+
+fractional_ms way_to(const placement_question& question, std::string_view domain,
+                     std::string_view region)
+{
+    if (domain == question.domain) {
+        return way_in_domain;
+    }
+    return region == question.region ? way_in_region : way_between_regions;
+}
+
+bool may_take(const target_board& board, const placement_question& question, const target_ptr& row,
+              bool even_ejected)
+{
+    if (!board.may_serve(*row) || !allowed(question, board.region_of(row->facts().domain))) {
+        return false;
+    }
+    if (std::find(question.tried.begin(), question.tried.end(), row.get()) !=
+        question.tried.end()) {
+        return false;
+    }
+    if (row->is_cold(question.now) && row->sent_lately(question.now) >= question.cold_allowance) {
+        return false;
+    }
+    return even_ejected || !row->is_ejected(question.now);
+}
+
+// The target of the caller's region that all hosts send this object to while it has room.
+const target* home_of(const target_board& board, const placement_question& question,
+                      const std::vector<target_ptr>& rows)
+{
+    const target* home = nullptr;
+    std::uint64_t best = 0;
+    for (const auto& row : rows) {
+        if (board.region_of(row->facts().domain) != question.region) {
+            continue;
+        }
+        const auto rank = affinity_rank(question.key, row->facts().id);
+        if (home == nullptr || rank > best) {
+            home = row.get();
+            best = rank;
+        }
+    }
+    return home;
+}
+
+candidate weigh(const target_board& board, const placement_question& question,
+                const work_estimate& work, const target_ptr& row, const target* home)
+{
+    candidate made;
+    made.found.where = row;
+    made.rank = affinity_rank(question.key, row->facts().id);
+    made.found.warm = question.sticky && question.key != 0 &&
+                      (row.get() == home || row->knows(question.key));
+    made.found.work = work.of(made.found.warm) * row->slowness();
+    made.found.way =
+        way_to(question, row->facts().domain, board.region_of(row->facts().domain));
+    const double slots = std::max<std::uint32_t>(row->slots(), 1);
+    const double ahead = std::max(0.0, row->occupancy(question.now) + 1.0 - slots);
+    made.found.wait = work.of(made.found.warm) * row->slowness() * (ahead / slots);
+    made.cost = made.found.total() + shed_penalty * row->shed_share();
+    if (row->on_trial()) {
+        made.cost += failure_penalty;
+    }
+    return made;
+}
+
+std::optional<candidate> best_of(const target_board& board, const placement_question& question,
+                                 const work_estimate& work, bool even_ejected)
+{
+    const auto& rows = board.of_service(question.service);
+    const target* home = question.key != 0 ? home_of(board, question, rows) : nullptr;
+    std::optional<candidate> best;
+    for (const auto& row : rows) {
+        if (!may_take(board, question, row, even_ejected)) {
+            continue;
+        }
+        auto next = weigh(board, question, work, row, home);
+        if (!best || next.cost < best->cost ||
+            (next.cost == best->cost && next.rank > best->rank)) {
+            best = std::move(next);
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+void work_estimate::learn(bool was_warm, fractional_ms took)
+{
+    auto& mean = was_warm ? this->warm : this->cold;
+    mean += (took - mean) * answer_weight;
+    this->warm = std::min(this->warm, this->cold);
+}
+
+tl::expected<placement, unplaced> place(const target_board& board,
+                                        const placement_question& question,
+                                        const work_estimate& work)
+{
+    auto best = best_of(board, question, work, false);
+    if (!best) {
+        // All look bad: the fault may be ours, and a try costs less than a refusal.
+        best = best_of(board, question, work, true);
+    }
+    if (!best) {
+        return tl::unexpected{unplaced{placement_failure::no_target, work.warm}};
+    }
+    const auto& found = best->found;
+    if (found.total() > question.time_left) {
+        return tl::unexpected{unplaced{placement_failure::too_late, found.wait}};
+    }
+    const double share =
+        std::max(least_queue_share, queue_share - queue_share_step * question.priority);
+    if (found.wait > fractional_ms{} && found.total() > question.time_left * share) {
+        return tl::unexpected{unplaced{placement_failure::overload, found.wait}};
+    }
+    return best->found;
+}
+
+std::uint64_t affinity_rank(object_key key, std::string_view target_id)
+{
+    return XXH64(target_id.data(), target_id.size(), key);
+}
+
+object_key make_object_key(std::string_view service, std::string_view object)
+{
+    if (object.empty()) {
+        return 0;
+    }
+    const auto seed = XXH64(service.data(), service.size(), 0);
+    return std::max<object_key>(1, XXH64(object.data(), object.size(), seed));
+}
+
+} // namespace bth::dispatch
--- /dev/null
+++ b/bth/fleet/messages.cpp
@@ -0,0 +1,285 @@
+#include "bth/fleet/messages.h"
+
+#include "bth/fleet/internal/fleet_generated.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace bth::fleet {
+
+namespace {
+
+std::uint32_t to_ms(duration time)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, UINT32_MAX));
+}
+
+duration from_ms(std::uint32_t ms)
+{
+    return std::chrono::milliseconds{ms};
+}
+
+frames::TargetT pack(const dispatch::target_facts& from)
+{
+    frames::TargetT out;
+    out.id = from.id;
+    out.service = from.service;
+    out.address = from.where.address.bits;
+    out.port = from.where.port;
+    out.domain = from.domain;
+    out.slots = static_cast<std::uint16_t>(std::min<std::uint32_t>(from.slots, UINT16_MAX));
+    out.draining = from.draining;
+    out.cold_ms = to_ms(from.cold_left);
+    return out;
+}
+
+dispatch::target_facts unpack(const frames::TargetT& from)
+{
+    return {from.id,
+            from.service,
+            {ipv4_address{from.address}, from.port},
+            from.domain,
+            from.slots,
+            from.draining,
+            from_ms(from.cold_ms)};
+}
+
+frames::EntryHostT pack(const entry_host& from)
+{
+    frames::EntryHostT out;
+    out.name = from.name;
+    out.address = from.where.address.bits;
+    out.port = from.where.port;
+    out.domain = from.domain;
+    out.ready = from.ready;
+    out.age_ms = to_ms(from.age);
+    return out;
+}
+
+entry_host unpack(const frames::EntryHostT& from)
+{
+    return {from.name,
+            {ipv4_address{from.address}, from.port},
+            from.domain,
+            from.ready,
+            from_ms(from.age_ms)};
+}
+
+frames::ControlHostT pack(const control_peer& from)
+{
+    frames::ControlHostT out;
+    out.name = from.name;
+    out.domain = from.domain;
+    return out;
+}
+
+control_peer unpack(const frames::ControlHostT& from)
+{
+    return {from.name, from.domain};
+}
+
+template <class Packed, class Plain>
+std::vector<std::unique_ptr<Packed>> pack_all(const std::vector<Plain>& rows)
+{
+    std::vector<std::unique_ptr<Packed>> out;
+    out.reserve(rows.size());
+    for (const auto& each : rows) {
+        out.push_back(std::make_unique<Packed>(pack(each)));
+    }
+    return out;
+}
+
+template <class Plain, class Packed>
+std::vector<Plain> unpack_all(const std::vector<std::unique_ptr<Packed>>& rows)
+{
+    std::vector<Plain> out;
+    out.reserve(rows.size());
+    for (const auto& each : rows) {
+        if (each != nullptr) {
+            out.push_back(unpack(*each));
+        }
+    }
+    return out;
+}
+
+frames::ReportT pack(const report& from)
+{
+    frames::ReportT out;
+    out.host = std::make_unique<frames::EntryHostT>(pack(from.host));
+    out.version = from.version.value();
+    out.agreed_index = from.index.value();
+    out.targets_revision = from.targets.value();
+    out.serving_life = from.serving_life.value();
+    return out;
+}
+
+std::optional<message> unpack(const frames::ReportT& from)
+{
+    if (from.host == nullptr) {
+        return std::nullopt;
+    }
+    return report{unpack(*from.host), route::config_version{from.version},
+                  agreed_index{from.agreed_index}, catalog_revision{from.targets_revision},
+                  incarnation{from.serving_life}};
+}
+
+frames::UpdateT pack(const update& from)
+{
+    frames::UpdateT out;
+    out.life = from.life.value();
+    out.in_contact = from.in_contact;
+    out.version = from.version.value();
+    out.agreed_index = from.index.value();
+    out.text = from.text;
+    out.has_evacuated = from.evacuated.has_value();
+    if (from.evacuated) {
+        out.evacuated.assign(from.evacuated->begin(), from.evacuated->end());
+    }
+    out.targets_whole = from.targets.whole;
+    out.targets_revision = from.targets.revision.value();
+    out.targets = pack_all<frames::TargetT>(from.targets.changed);
+    out.removed = from.targets.removed;
+    out.control_hosts = pack_all<frames::ControlHostT>(from.control_hosts);
+    out.entry_count = from.entry_count;
+    out.entry_rank = from.entry_rank;
+    return out;
+}
+
+std::optional<message> unpack(const frames::UpdateT& from)
+{
+    update out;
+    out.life = incarnation{from.life};
+    out.in_contact = from.in_contact;
+    out.version = route::config_version{from.version};
+    out.index = agreed_index{from.agreed_index};
+    out.text = from.text;
+    if (from.has_evacuated) {
+        out.evacuated.emplace(from.evacuated.begin(), from.evacuated.end());
+    }
+    out.targets = {from.targets_whole, catalog_revision{from.targets_revision},
+                   unpack_all<dispatch::target_facts>(from.targets), from.removed};
+    out.control_hosts = unpack_all<control_peer>(from.control_hosts);
+    out.entry_count = from.entry_count;
+    out.entry_rank = from.entry_rank;
+    return out;
+}
+
+frames::RelayT pack(const relay& from)
+{
+    frames::RelayT out;
+    out.host = std::make_unique<frames::ControlHostT>(pack(from.host));
+    out.entry_hosts = pack_all<frames::EntryHostT>(from.entry_hosts);
+    out.list_age_ms = to_ms(from.list_age);
+    out.list_digest = from.list_digest;
+    out.has_list = from.list.has_value();
+    if (from.list) {
+        out.list = pack_all<frames::TargetT>(*from.list);
+    }
+    return out;
+}
+
+std::optional<message> unpack(const frames::RelayT& from)
+{
+    if (from.host == nullptr) {
+        return std::nullopt;
+    }
+    relay out;
+    out.host = unpack(*from.host);
+    out.entry_hosts = unpack_all<entry_host>(from.entry_hosts);
+    out.list_age = from_ms(from.list_age_ms);
+    out.list_digest = from.list_digest;
+    if (from.has_list) {
+        out.list = unpack_all<dispatch::target_facts>(from.list);
+    }
+    return out;
+}
+
+frames::CommandT pack(const set_configuration& from)
+{
+    frames::CommandT out;
+    out.kind = frames::CommandKind::Configure;
+    out.version = from.version.value();
+    out.text = from.text;
+    return out;
+}
+
+frames::CommandT pack(const set_evacuation& from)
+{
+    frames::CommandT out;
+    out.kind = from.evacuated ? frames::CommandKind::Evacuate : frames::CommandKind::Restore;
+    out.text = from.domain;
+    return out;
+}
+
+std::optional<message> unpack(const frames::CommandT& from)
+{
+    if (from.kind == frames::CommandKind::Configure) {
+        return set_configuration{route::config_version{from.version}, from.text};
+    }
+    return set_evacuation{from.text, from.kind == frames::CommandKind::Evacuate};
+}
+
+frames::AgreedT pack(const agreed_contents& from)
+{
+    frames::AgreedT out;
+    out.version = from.version.value();
+    out.text = from.text;
+    out.evacuated.assign(from.evacuated.begin(), from.evacuated.end());
+    out.index = from.index.value();
+    return out;
+}
+
+std::optional<message> unpack(const frames::AgreedT& from)
+{
+    return agreed_contents{route::config_version{from.version}, from.text,
+                           {from.evacuated.begin(), from.evacuated.end()},
+                           agreed_index{from.index}};
+}
+
+} // namespace
+
+std::string encode(const message& what)
+{
+    frames::FrameT frame;
+    std::visit([&](const auto& each) { frame.body.Set(pack(each)); }, what);
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(frames::Frame::Pack(builder, &frame));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+std::optional<message> decode(std::string_view bytes)
+{
+    // Scalars are read in place, which needs an aligned buffer.
+    const std::vector<std::uint64_t> aligned = [&] {
+        std::vector<std::uint64_t> copy((bytes.size() + sizeof(std::uint64_t) - 1) /
+                                        sizeof(std::uint64_t));
+        std::copy(bytes.begin(), bytes.end(), reinterpret_cast<char*>(copy.data()));
+        return copy;
+    }();
+    const auto* data = reinterpret_cast<const std::uint8_t*>(aligned.data());
+    flatbuffers::Verifier verifier{data, bytes.size()};
+    if (!frames::VerifyFrameBuffer(verifier)) {
+        return std::nullopt;
+    }
+    const std::unique_ptr<frames::FrameT> frame{frames::GetFrame(data)->UnPack()};
+    if (const auto* each = frame->body.AsReport()) {
+        return unpack(*each);
+    }
+    if (const auto* each = frame->body.AsUpdate()) {
+        return unpack(*each);
+    }
+    if (const auto* each = frame->body.AsRelay()) {
+        return unpack(*each);
+    }
+    if (const auto* each = frame->body.AsCommand()) {
+        return unpack(*each);
+    }
+    if (const auto* each = frame->body.AsAgreed()) {
+        return unpack(*each);
+    }
+    return std::nullopt;
+}
+
+} // namespace bth::fleet
--- /dev/null
+++ b/bth/fleet/registry_test.cpp
@@ -0,0 +1,1 @@
+#include <CppUTest/TestHarness.h>
--- /dev/null
+++ b/bth/gateway/gateway.cpp
@@ -0,0 +1,467 @@
+#include "bth/gateway/gateway.h"
+
+#include "bth/dispatch/cold_share.h"
+#include "bth/shell/net.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace bth::gateway {
+
+namespace {
+
+using dispatch::fractional_ms;
+using dispatch::send_outcome;
+using route::repeatability;
+
+// The part of the way that an answer still has to go to the caller.
+constexpr std::chrono::milliseconds answer_margin{15};
+// A target that answers as its time runs out is heard out for so long, if the caller waits.
+constexpr std::chrono::milliseconds late_answer_wait{100};
+// The time that a target is told is shorter than what is left by the way there and back.
+constexpr std::chrono::milliseconds target_margin{10};
+// A repeat with less time than this has little hope.
+constexpr std::chrono::milliseconds least_time_for_repeat{80};
+// Connections that a repeatable request may use after so long an idle time, and the others, for
+// which a dead connection means a lost answer.
+constexpr std::chrono::seconds most_idle_repeatable{8};
+constexpr std::chrono::seconds most_idle_once{3};
+// Bounds of the time that a refused caller is told to stay away.
+constexpr std::chrono::milliseconds least_retry_after{50};
+constexpr std::chrono::milliseconds most_retry_after{2000};
+// Part of the cold rate that is left unused, for requests that are late on their way.
+constexpr double cold_margin = 0.8;
+
+std::string_view view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::optional<std::int64_t> whole_number(std::string_view text)
+{
+    std::int64_t value{};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size() || value < 0) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+// The path without the query.
+std::string_view path_of(std::string_view request_target)
+{
+    return request_target.substr(0, request_target.find('?'));
+}
+
+std::string_view host_of(std::string_view field)
+{
+    return field.substr(0, field.rfind(':'));
+}
+
+refusal_reason reason_of(dispatch::placement_failure why)
+{
+    switch (why) {
+    case dispatch::placement_failure::too_late:
+        return refusal_reason::deadline;
+    case dispatch::placement_failure::overload:
+        return refusal_reason::queue_full;
+    case dispatch::placement_failure::no_target:
+        break;
+    }
+    return refusal_reason::no_target;
+}
+
+std::string_view name_of(send_outcome outcome)
+{
+    switch (outcome) {
+    case send_outcome::answered:
+        return "answered";
+    case send_outcome::shed:
+        return "shed";
+    case send_outcome::misdirected:
+        return "misdirected";
+    case send_outcome::not_reached:
+        return "not_reached";
+    case send_outcome::broken:
+        return "broken";
+    case send_outcome::failed:
+        return "failed";
+    case send_outcome::timed_out:
+        return "timed_out";
+    case send_outcome::abandoned:
+        return "abandoned";
+    }
+    return "unknown";
+}
+
+retry_reason retry_reason_of(const send_result& got)
+{
+    if (got.outcome == send_outcome::not_reached) {
+        return retry_reason::connect_failed;
+    }
+    return got.may_have_run ? retry_reason::broken : retry_reason::not_run;
+}
+
+} // namespace
+
+gateway::gateway(boost::asio::io_context& context, gateway_settings settings, field_names names,
+                 shell::event_log& events)
+    : events{&events}, context{&context}, settings{std::move(settings)}, names{std::move(names)},
+      board{this->settings.regions}
+{
+    this->region = std::string{this->board.region_of(this->settings.domain)};
+}
+
+void gateway::take(const fleet::update& news, std::optional<route::configuration> configuration)
+{
+    const auto now = shell::monotonic_now();
+    this->entry_count = std::max<std::uint32_t>(news.entry_count, 1);
+    this->entry_rank = news.entry_rank;
+    const bool has_targets = news.targets.whole || !news.targets.changed.empty() ||
+                             !news.targets.removed.empty();
+    if (has_targets) {
+        this->board.apply(now, news.targets.changed, news.targets.removed, news.targets.whole);
+        this->events->write(shell::event{"targets"}
+                                .with("whole", news.targets.whole)
+                                .with("changed", news.targets.changed.size())
+                                .with("removed", news.targets.removed.size())
+                                .with("known", this->board.size()));
+    }
+    if (configuration && configuration->version > this->version) {
+        this->version = configuration->version;
+        this->table = route::route_table{std::move(*configuration)};
+        this->events->write(shell::event{"configuration"}
+                                .with("version", this->version.value())
+                                .with("routes", this->table.source().routes.size()),
+                            shell::event_weight::essential);
+    }
+    if (news.evacuated && news.index >= this->index) {
+        duration cold{};
+        for (const auto& each : this->table.source().services) {
+            cold = std::max(cold, each.cold_time);
+        }
+        this->board.set_evacuated(now, *news.evacuated, cold);
+    }
+    this->index = std::max(this->index, news.index);
+}
+
+std::string gateway::render_metrics(bool ready)
+{
+    return this->metrics.render({this->in_flight, this->callers, this->pool.size(),
+                                 this->board.size(), this->version.value(), ready,
+                                 this->events->left_out()});
+}
+
+std::uint32_t gateway::cold_allowance(const std::string& service) const
+{
+    const auto* known = this->table.find_service(service);
+    const double rate = known == nullptr ? 0.0 : known->cold_rate;
+    const auto& limits = this->settings.limits;
+    return dispatch::cold_share((rate * limits.cold_factor + limits.cold_slack) * cold_margin,
+                                this->entry_count, this->entry_rank);
+}
+
+dispatch::work_estimate& gateway::work_of(const passage& now_at)
+{
+    return this->work[now_at.way->name + '/' + now_at.service];
+}
+
+// Callers that are refused together don't come back together.
+duration gateway::spread(fractional_ms base, time_point due)
+{
+    std::uniform_real_distribution<double> part{0.7, 1.5};
+    const auto wanted =
+        std::chrono::duration_cast<duration>(base * part(this->random));
+    // Callers heed a time up to a third of what they have left.
+    const duration heeded = std::max<duration>((due - shell::monotonic_now()) / 3, {});
+    return std::clamp<duration>(std::min(wanted, heeded), least_retry_after, most_retry_after);
+}
+
+answer gateway::refuse(const passage& now_at, refusal_reason reason, duration come_back)
+{
+    this->metrics.count_refusal(reason);
+    const auto run = now_at.may_have_run ? run_state::unknown : run_state::no;
+    this->events->write(shell::event{"refused"}
+                            .with("request", now_at.id)
+                            .with("route", now_at.way->name)
+                            .with("service", now_at.service)
+                            .with("reason", to_string(reason))
+                            .with("run", to_string(run))
+                            .with("sends", now_at.sends)
+                            .with("version", this->version.value())
+                            .with("age_ms", shell::monotonic_now() - now_at.request->begun)
+                            .with("retry_after_ms", come_back));
+    return make_refusal({reason, run, come_back});
+}
+
+// Answers a request that can't be served at all, whatever the targets do.
+std::optional<answer> gateway::refuse_early(const served_request& request, const std::string& id)
+{
+    if (!this->is_configured()) {
+        this->metrics.count_refusal(refusal_reason::not_configured);
+        this->events->write(
+            shell::event{"refused"}.with("request", id).with("reason", "not_configured"));
+        constexpr std::chrono::milliseconds configured_soon{300};
+        return make_refusal({refusal_reason::not_configured, run_state::no, configured_soon});
+    }
+    const auto path = path_of(view(request.head.target()));
+    const auto host = host_of(view(request.head[http::field::host]));
+    if (this->table.find(host, path) == nullptr) {
+        this->metrics.count_refusal(refusal_reason::unknown_service);
+        this->events->write(shell::event{"refused"}
+                                .with("request", id)
+                                .with("reason", "unknown_service")
+                                .with("host", host)
+                                .with("path", path)
+                                .with("version", this->version.value()));
+        return make_plain(static_cast<unsigned>(http::status::not_found), "unknown_service", false);
+    }
+    return std::nullopt;
+}
+
+boost::asio::awaitable<answer> gateway::serve(std::shared_ptr<served_request> request)
+{
+    const auto self = shared_from_this();
+    this->metrics.count_request();
+    std::string id{view(request->head[this->names.request_id])};
+    if (auto early = this->refuse_early(*request, id)) {
+        co_return std::move(*early);
+    }
+    passage now_at;
+    now_at.request = request;
+    now_at.id = std::move(id);
+    now_at.path = path_of(view(request->head.target()));
+    const auto host = host_of(view(request->head[http::field::host]));
+    // The table may be replaced while the request is under way.
+    const auto way = std::make_shared<const route::route>(*this->table.find(host, now_at.path));
+    now_at.way = way.get();
+    now_at.service = this->splits[way->name].next(way->split);
+    const auto object = view(request->head[this->names.object]);
+    now_at.key = way->sticky ? dispatch::make_object_key(now_at.service, object) : 0;
+    now_at.due = request->begun + way->timeout;
+    const auto patience = whole_number(view(request->head[this->names.time_left_ms]));
+    if (patience) {
+        now_at.due = std::min<time_point>(
+            now_at.due, request->begun + std::chrono::milliseconds{*patience} - answer_margin);
+    }
+    now_at.objective_due = request->begun + way->objective;
+
+    auto& window = this->retries[now_at.service];
+    const auto& limits = this->settings.limits;
+    window.set({limits.retry_ratio, limits.retry_slack, this->entry_count}, limits.retry_window);
+    window.count_first(request->begun);
+    ++this->in_flight;
+    auto made = co_await this->pass(std::move(now_at));
+    --this->in_flight;
+    this->metrics.observe_answer(made.status, shell::monotonic_now() - request->begun);
+    co_return made;
+}
+
+tl::expected<dispatch::placement, dispatch::unplaced> gateway::choose(const passage& now_at)
+{
+    const auto now = shell::monotonic_now();
+    dispatch::placement_question question;
+    question.now = now;
+    question.service = now_at.service;
+    question.key = now_at.key;
+    question.sticky = now_at.way->sticky;
+    question.domain = this->settings.domain;
+    question.region = this->region;
+    question.allowed_regions = &now_at.way->allowed_regions;
+    for (const auto& each : now_at.tried) {
+        question.tried.push_back(each.get());
+    }
+    question.time_left = now_at.due - now;
+    question.objective_left = now_at.objective_due - now;
+    question.priority = now_at.way->priority;
+    question.cold_allowance = this->cold_allowance(now_at.service);
+    return dispatch::place(this->board, question,
+                           this->work[now_at.way->name + '/' + now_at.service]);
+}
+
+std::string gateway::request_bytes(const passage& now_at, const dispatch::placement& where,
+                                   time_point now) const
+{
+    const auto& head = now_at.request->head;
+    const auto options = view(head[http::field::connection]);
+    std::string out{view(head.method_string())};
+    out += ' ';
+    out += view(head.target());
+    out += " HTTP/1.1\r\n";
+    const auto is = [](std::string_view name, const std::string& other) {
+        return boost::beast::iequals({name.data(), name.size()}, other);
+    };
+    for (const auto& each : head) {
+        const auto name = view(each.name_string());
+        if (is_connection_field(name, options) || is(name, this->names.time_left_ms) ||
+            is(name, this->names.expected_target) || is(name, "Expect")) {
+            continue;
+        }
+        out += name;
+        out += ": ";
+        out += view(each.value());
+        out += "\r\n";
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now_at.due - now - target_margin);
+    out += this->names.time_left_ms + ": " + std::to_string(std::max<std::int64_t>(left.count(), 1));
+    out += "\r\n" + this->names.expected_target + ": " + where.where->facts().id + "\r\n";
+    const bool has_length = !head.body().empty() || head.method() == http::verb::post ||
+                            head.method() == http::verb::put || head.method() == http::verb::patch;
+    if (has_length) {
+        out += "Content-Length: " + std::to_string(head.body().size()) + "\r\n";
+    }
+    return out + "\r\n" + head.body();
+}
+
+boost::asio::awaitable<send_result> gateway::send(passage& now_at,
+                                                  const dispatch::placement& where)
+{
+    const auto begun = shell::monotonic_now();
+    const auto target = where.where;
+    const bool once = now_at.way->repeat == repeatability::at_most_once;
+    ++now_at.sends;
+    now_at.tried.push_back(target);
+    target->begin(begun, now_at.key);
+    send_order order{target->facts().id,
+                     target->facts().where,
+                     now_at.id,
+                     this->request_bytes(now_at, where, begun),
+                     now_at.request->head.method() == http::verb::head,
+                     once ? duration{most_idle_once} : duration{most_idle_repeatable},
+                     &this->names};
+    auto got = co_await send_to(this->pool, now_at.request->control, std::move(order));
+    const auto now = shell::monotonic_now();
+    const fractional_ms took = now - begun;
+    // The target's own way of working shows when nothing else waited there.
+    const bool alone = where.wait == fractional_ms{};
+    target->end(now, got.outcome, took, alone ? where.total() : fractional_ms{}, got.load);
+    if (got.outcome == send_outcome::answered && alone) {
+        this->work_of(now_at).learn(where.warm, took - where.way);
+    }
+    now_at.may_have_run = now_at.may_have_run || got.may_have_run;
+    const bool usual = got.outcome == send_outcome::answered;
+    if (!usual || this->events->takes_usual()) {
+        this->events->write(shell::event{"sent"}
+                                .with("request", now_at.id)
+                                .with("service", now_at.service)
+                                .with("target", target->facts().id)
+                                .with("warm", where.warm)
+                                .with("expected_ms", std::chrono::duration_cast<duration>(
+                                                         where.total()))
+                                .with("wait_ms",
+                                      std::chrono::duration_cast<duration>(where.wait))
+                                .with("at_target", target->occupancy(now))
+                                .with("outcome", name_of(got.outcome))
+                                .with("took_ms", now - begun));
+    }
+    co_return got;
+}
+
+// Whether a request that a target didn't answer goes to another one.
+bool gateway::may_send_again(passage& now_at, const send_result& got)
+{
+    const auto now = shell::monotonic_now();
+    const bool once = now_at.way->repeat == repeatability::at_most_once;
+    const bool has_run_once = now_at.may_have_run && once;
+    if (now_at.request->control->aborted() || has_run_once ||
+        now_at.sends >= std::max<std::uint32_t>(now_at.way->max_attempts, 1) ||
+        now_at.due - now < least_time_for_repeat) {
+        return false;
+    }
+    // A request that reached no target is no repeat.
+    if (got.arrived && !this->retries[now_at.service].spend(now)) {
+        this->metrics.count_refusal(refusal_reason::retry_budget);
+        return false;
+    }
+    this->metrics.count_retry(retry_reason_of(got));
+    return true;
+}
+
+answer gateway::finish(const passage& now_at, answer made, std::string_view ended_by)
+{
+    const auto took = shell::monotonic_now() - now_at.request->begun;
+    const bool slow = took > now_at.way->objective;
+    if (slow || made.status >= static_cast<unsigned>(http::status::bad_request) ||
+        this->events->takes_usual()) {
+        this->events->write(shell::event{"ended"}
+                                .with("request", now_at.id)
+                                .with("route", now_at.way->name)
+                                .with("status", made.status)
+                                .with("ended_by", ended_by)
+                                .with("sends", now_at.sends)
+                                .with("took_ms", took)
+                                .with("objective_ms", now_at.way->objective));
+    }
+    return made;
+}
+
+// The final answer to a request that its last target did not answer.
+answer gateway::end_failed(const passage& now_at, const send_result& got)
+{
+    if (got.outcome == send_outcome::abandoned) {
+        this->metrics.count_caller_gone();
+        return this->finish(now_at, make_refusal({refusal_reason::deadline, run_state::unknown, {}}),
+                            "caller_gone");
+    }
+    if (got.outcome == send_outcome::timed_out) {
+        return this->refuse(now_at, refusal_reason::deadline, {});
+    }
+    const auto come_back =
+        this->spread(this->work[now_at.way->name + '/' + now_at.service].warm, now_at.due);
+    const bool shed = got.outcome == send_outcome::shed;
+    return this->refuse(now_at, shed ? refusal_reason::queue_full : refusal_reason::target_failed,
+                        come_back);
+}
+
+boost::asio::awaitable<answer> gateway::pass(passage now_at)
+{
+    const auto control = now_at.request->control;
+    boost::asio::steady_timer timer{*this->context};
+    timer.expires_after(now_at.due + late_answer_wait - shell::monotonic_now());
+    timer.async_wait([control](const boost::system::error_code& error) {
+        if (!error) {
+            control->out_of_time = true;
+            control->abort();
+        }
+    });
+    while (true) {
+        if (control->aborted()) {
+            send_result none;
+            none.outcome =
+                control->caller_gone ? send_outcome::abandoned : send_outcome::timed_out;
+            co_return this->finish(now_at, this->end_failed(now_at, none), "given_up");
+        }
+        const auto where = this->choose(now_at);
+        if (!where) {
+            const auto& failed = where.error();
+            const bool has_room_later = failed.why != dispatch::placement_failure::too_late ||
+                                        failed.come_back > fractional_ms{};
+            const auto come_back =
+                has_room_later ? this->spread(failed.come_back, now_at.due) : duration{};
+            co_return this->finish(
+                now_at, this->refuse(now_at, reason_of(failed.why), come_back), "refusal");
+        }
+        auto got = co_await this->send(now_at, *where);
+        const bool failed = got.outcome == send_outcome::failed;
+        if (got.outcome != send_outcome::answered && this->may_send_again(now_at, got)) {
+            continue;
+        }
+        if (got.got && (got.outcome == send_outcome::answered || failed)) {
+            // These statuses promise that a request has not run; a target that doesn't say so by
+            // its own field may have run it.
+            const bool promises = got.got->result() == http::status::service_unavailable ||
+                                  got.got->result() == http::status::too_many_requests ||
+                                  got.got->result() == http::status::request_timeout;
+            if (!promises) {
+                const bool to_head = now_at.request->head.method() == http::verb::head;
+                co_return this->finish(now_at, pass_on(std::move(*got.got), to_head), "target");
+            }
+        }
+        co_return this->finish(now_at, this->end_failed(now_at, got), "failure");
+    }
+}
+
+} // namespace bth::gateway
--- /dev/null
+++ b/bth/gateway/gateway.h
@@ -0,0 +1,133 @@
+// The request path of an entry host in highest-version mode: takes requests of callers, sends them to
+// targets, and answers for the outcome.
+//
+//   auto made = std::make_shared<gateway>(context, settings, names, events);
+//   made->take(update_from_the_control_host, decoded_configuration);
+//   answer got = co_await made->serve(request, control);
+#pragma once
+
+#include "bth/dispatch/board.h"
+#include "bth/dispatch/placement.h"
+#include "bth/dispatch/retry_window.h"
+#include "bth/fleet/messages.h"
+#include "bth/gateway/answer.h"
+#include "bth/gateway/fields.h"
+#include "bth/gateway/metrics.h"
+#include "bth/gateway/split.h"
+#include "bth/gateway/target_pool.h"
+#include "bth/gateway/target_send.h"
+#include "bth/route/model.h"
+#include "bth/shell/event_log.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace bth::gateway {
+
+// Limits that all hosts keep together.
+struct fleet_limits {
+    // Requests sent once more, as a share of the first ones and in number, in any window.
+    double retry_ratio{};
+    double retry_slack{};
+    duration retry_window{};
+    // What a cold target bears: its rate times the factor, and so many more, in any second.
+    double cold_factor{};
+    double cold_slack{};
+};
+
+struct gateway_settings {
+    std::string domain;
+    dispatch::domain_regions regions;
+    fleet_limits limits;
+};
+
+// One request of a caller while it is served.
+struct served_request {
+    caller_request head;
+    time_point begun;
+    std::shared_ptr<send_control> control{std::make_shared<send_control>()};
+};
+
+class gateway : public std::enable_shared_from_this<gateway> {
+public:
+    gateway(boost::asio::io_context& context, gateway_settings settings, field_names names,
+            shell::event_log& events);
+
+    // Takes news of the control host; the configuration is set if it is new. What is older than
+    // what is held is passed over.
+    void take(const fleet::update& news, std::optional<route::configuration> configuration);
+
+    boost::asio::awaitable<answer> serve(std::shared_ptr<served_request> request);
+
+    bool is_configured() const { return this->version != route::config_version{}; }
+    route::config_version held_version() const { return this->version; }
+    fleet::agreed_index held_index() const { return this->index; }
+    const route::caller_limits& limits() const { return this->table.source().limits; }
+    void sweep(time_point now) { this->pool.sweep(now); }
+
+    // Callers' connections that are open; kept by the sessions.
+    std::size_t callers{};
+    bool stopping{};
+    gateway_metrics metrics;
+    shell::event_log* events;
+
+    std::string render_metrics(bool ready);
+
+private:
+    // One request on its way: what was decided so far.
+    struct passage {
+        std::shared_ptr<served_request> request;
+        const route::route* way{};
+        std::string service;
+        std::string id;
+        std::string path;
+        time_point due;
+        time_point objective_due;
+        dispatch::object_key key{};
+        std::uint32_t sends{};
+        std::vector<dispatch::target_ptr> tried;
+        bool may_have_run{};
+    };
+    enum class next_step : std::uint8_t { send_again, end };
+
+    boost::asio::awaitable<answer> pass(passage now_at);
+    std::optional<answer> refuse_early(const served_request& request, const std::string& id);
+    tl::expected<dispatch::placement, dispatch::unplaced> choose(const passage& now_at);
+    std::string request_bytes(const passage& now_at, const dispatch::placement& where,
+                              time_point now) const;
+    boost::asio::awaitable<send_result> send(passage& now_at, const dispatch::placement& where);
+    bool may_send_again(passage& now_at, const send_result& got);
+    answer refuse(const passage& now_at, refusal_reason reason, duration come_back);
+    answer finish(const passage& now_at, answer made, std::string_view ended_by);
+    answer end_failed(const passage& now_at, const send_result& got);
+    std::uint32_t cold_allowance(const std::string& service) const;
+    dispatch::work_estimate& work_of(const passage& now_at);
+    duration spread(dispatch::fractional_ms base, time_point due);
+
+    boost::asio::io_context* context;
+    gateway_settings settings;
+    field_names names;
+    std::string region;
+    route::config_version version;
+    fleet::agreed_index index;
+    route::route_table table;
+    dispatch::target_board board;
+    target_pool pool;
+    std::map<std::string, weighted_split> splits;
+    std::map<std::string, dispatch::work_estimate> work;
+    std::map<std::string, dispatch::retry_window> retries;
+    std::uint32_t entry_count{1};
+    std::uint32_t entry_rank{};
+    std::size_t in_flight{};
+    std::mt19937 random{std::random_device{}()};
+};
+
+} // namespace bth::gateway
--- a/bth/shell/internal/peer_connection.cpp
+++ b/bth/shell/internal/peer_connection.cpp
@@ -25,7 +25,8 @@
 constexpr int probe_idle_s = 2;
 constexpr int probe_interval_s = 1;
 constexpr int probe_count = 3;
-constexpr int unacknowledged_limit_ms = 5000;
+// A connection that went silent is replaced within the time in which leases of its owner run out.
+constexpr int unacknowledged_limit_ms = 2000;
 
 // A peer that fell silent without closing is found by the kernel's probes.
 void set_options(asio::ip::tcp::socket& socket)
--- a/bth/shell/net.cpp
+++ b/bth/shell/net.cpp
@@ -1,6 +1,7 @@
 #include "bth/shell/net.h"
 
 #include <chrono>
+#include <ctime>
 #include <utility>
 
 namespace bth::shell {
@@ -44,8 +45,10 @@
 
 time_point monotonic_now()
 {
-    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-    return time_point{std::chrono::duration_cast<duration>(since_start)};
+    // A lease must run out while its holder is suspended; the steady clock stands still meanwhile.
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point{std::chrono::seconds{now.tv_sec} + std::chrono::nanoseconds{now.tv_nsec}};
 }
 
 clock_reading read_clocks()
--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -26,9 +26,11 @@
 using internal::peer_connection;
 
 constexpr std::chrono::milliseconds least_back_off{50};
-constexpr std::chrono::milliseconds most_back_off{2000};
+// A healed cut must be found well before the second in which a host is missed.
+constexpr std::chrono::milliseconds most_back_off{500};
 constexpr std::chrono::milliseconds larger_name_delay{1000};
-constexpr std::chrono::milliseconds connect_limit{2000};
+// A lost opening packet is sent again after a second; a new try is faster.
+constexpr std::chrono::milliseconds connect_limit{700};
 constexpr std::size_t max_unknown_connections = 1024;
 
 // A peer to stay connected with, or one that connected by itself.
@@ -122,7 +124,9 @@
 {
     row->dialling = true;
     std::chrono::milliseconds wait =
-        this->connects_first(row->name) ? std::chrono::milliseconds{0} : larger_name_delay;
+        this->settings.dials_at_once || this->connects_first(row->name)
+            ? std::chrono::milliseconds{0}
+            : larger_name_delay;
     while (!this->stopped && row->where) {
         boost::system::error_code ignored;
         if (row->live) {
--- a/bth/shell/peer_link.h
+++ b/bth/shell/peer_link.h
@@ -48,6 +48,8 @@
     incarnation life;
     // The most bytes that wait to be written to one peer.
     std::size_t queue_bytes{std::size_t{32} * 1024 * 1024};
+    // Dials every peer at once, whatever its name. For a process whose peers don't know it.
+    bool dials_at_once{};
 };
 
 // Takes one payload, valid during the call only. False if it is malformed: the connection is
