Learn the work of requests only where the target's warmth is known

Cause: probes without an object and first sends to a home that was still cold entered the estimates, so that the wait and the gain of a warm target were misjudged.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -92,8 +92,8 @@
     candidate made;
     made.found.where = row;
     made.rank = affinity_rank(question.key, row->facts().id);
-    made.found.warm = question.sticky && question.key != 0 &&
-                      (row.get() == home || row->knows(question.key));
+    made.found.known = question.key != 0 && row->knows(question.key);
+    made.found.warm = question.sticky && (made.found.known || row.get() == home);
     made.found.work = work.of(made.found.warm) * row->slowness();
     made.found.way =
         way_to(question, row->facts().domain, board.region_of(row->facts().domain));
@@ -128,9 +128,13 @@
 
 } // namespace
 
-void work_estimate::learn(bool was_warm, fractional_ms took)
+void work_estimate::learn(const placement& from, fractional_ms took)
 {
-    auto& mean = was_warm ? this->warm : this->cold;
+    // Whether the home of an object that this host hasn't sent there was warm isn't known.
+    if (from.warm && !from.known) {
+        return;
+    }
+    auto& mean = from.warm ? this->warm : this->cold;
     mean += (took - mean) * answer_weight;
     this->warm = std::min(this->warm, this->cold);
 }
--- a/bth/dispatch/placement.h
+++ b/bth/dispatch/placement.h
@@ -22,13 +22,15 @@
 
 namespace bth::dispatch {
 
+struct placement;
+
 // What requests of one service take, learned from answers.
 struct work_estimate {
     // On a target that knows the object, and on one that doesn't.
     fractional_ms warm{150.0};
     fractional_ms cold{300.0};
 
-    void learn(bool was_warm, fractional_ms took);
+    void learn(const placement& from, fractional_ms took);
     fractional_ms of(bool is_warm) const { return is_warm ? this->warm : this->cold; }
 };
 
@@ -57,7 +59,9 @@
 
 struct placement {
     target_ptr where;
+    // Whether the target is expected to know the object, and whether this host sent it there.
     bool warm{};
+    bool known{};
     // The expected time at the target without waiting, the wait for a slot, and the way there.
     fractional_ms work{};
     fractional_ms wait{};
--- a/bth/dispatch/placement_test.cpp
+++ b/bth/dispatch/placement_test.cpp
@@ -1,1 +1,247 @@
+#include "bth/dispatch/placement.h"
+
+#include "bth/dispatch/cold_share.h"
+#include "bth/dispatch/retry_window.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using bth::time_point;
+using bth::dispatch::fractional_ms;
+using bth::dispatch::object_key;
+using bth::dispatch::place;
+using bth::dispatch::placement_failure;
+using bth::dispatch::placement_question;
+using bth::dispatch::send_outcome;
+using bth::dispatch::target_board;
+using bth::dispatch::target_facts;
+using bth::dispatch::work_estimate;
+
+constexpr time_point start{1h};
+const bth::dispatch::domain_regions regions{
+    {"north-1", "north"}, {"north-2", "north"}, {"south-1", "south"}};
+
+target_facts facts(const std::string& id, const std::string& domain)
+{
+    return {id, "orders", {}, domain, 3, false, {}};
+}
+
+target_board make_board()
+{
+    target_board board{regions};
+    board.apply(start, {facts("a", "north-1"), facts("b", "north-1"), facts("c", "north-2"),
+                        facts("d", "south-1")},
+                {}, true);
+    return board;
+}
+
+placement_question make_question(object_key key)
+{
+    placement_question question;
+    question.now = start;
+    question.service = "orders";
+    question.key = key;
+    question.sticky = true;
+    question.domain = "north-1";
+    question.region = "north";
+    question.time_left = 800ms;
+    question.objective_left = 250ms;
+    question.cold_allowance = 1;
+    return question;
+}
+
+const work_estimate work{100ms, 300ms};
+
+void fill(target_board& board, const std::string& id, int requests)
+{
+    for (const auto& row : board.of_service("orders")) {
+        for (int each = 0; row->facts().id == id && each < requests; ++each) {
+            row->begin(start, 0);
+        }
+    }
+}
+
+} // namespace
+
+TEST_GROUP(placement){};
+
+TEST(placement, hosts_of_a_region_send_an_object_to_the_same_target)
+{
+    const auto first = make_board();
+    const auto second = make_board();
+    for (object_key key = 1; key < 50; ++key) {
+        auto here = make_question(key);
+        auto there = make_question(key);
+        there.domain = "north-2";
+        STRCMP_EQUAL(place(first, here, work)->where->facts().id.c_str(),
+                     place(second, there, work)->where->facts().id.c_str());
+    }
+}
+
+TEST(placement, waiting_for_a_warm_target_beats_a_cold_one_only_while_it_is_shorter)
+{
+    auto board = make_board();
+    const auto question = make_question(5);
+    const auto home = place(board, question, work)->where->facts().id;
+    fill(board, home, 5);
+    STRCMP_EQUAL(home.c_str(), place(board, question, work)->where->facts().id.c_str());
+    fill(board, home, 6);
+    CHECK(home != place(board, question, work)->where->facts().id);
+}
+
+TEST(placement, the_other_region_is_used_when_the_own_one_is_full)
+{
+    auto board = make_board();
+    for (const auto* id : {"a", "b", "c"}) {
+        fill(board, id, 9);
+    }
+    STRCMP_EQUAL("d", place(board, make_question(5), work)->where->facts().id.c_str());
+}
+
+TEST(placement, only_allowed_regions_are_used)
+{
+    const auto board = make_board();
+    const std::vector<std::string> south{"south"};
+    auto question = make_question(5);
+    question.allowed_regions = &south;
+    STRCMP_EQUAL("d", place(board, question, work)->where->facts().id.c_str());
+}
+
+TEST(placement, what_would_come_too_late_is_refused_at_once)
+{
+    const auto board = make_board();
+    auto question = make_question(0);
+    question.time_left = 50ms;
+    const auto found = place(board, question, work);
+    CHECK_FALSE(found.has_value());
+    CHECK(found.error().why == placement_failure::too_late);
+}
+
+TEST(placement, under_overload_the_less_urgent_request_is_refused_first)
+{
+    auto board = make_board();
+    for (const auto* id : {"a", "b", "c", "d"}) {
+        fill(board, id, 13);
+    }
+    auto urgent = make_question(5);
+    urgent.priority = 0;
+    auto later = make_question(5);
+    later.priority = 5;
+    CHECK_TRUE(place(board, urgent, work).has_value());
+    const auto refused = place(board, later, work);
+    CHECK_FALSE(refused.has_value());
+    CHECK(refused.error().why == placement_failure::overload);
+    CHECK(refused.error().come_back > 0ms);
+}
+
+TEST(placement, leaving_evacuated_and_gone_targets_get_nothing)
+{
+    auto board = make_board();
+    auto leaving = facts("a", "north-1");
+    leaving.draining = true;
+    board.apply(start, {leaving}, {"b"}, false);
+    board.set_evacuated(start, {"north-2"}, 3s);
+    for (object_key key = 1; key < 20; ++key) {
+        STRCMP_EQUAL("d", place(board, make_question(key), work)->where->facts().id.c_str());
+    }
+}
+
+TEST(placement, a_domain_taken_back_is_treated_as_cold)
+{
+    auto board = make_board();
+    board.set_evacuated(start, {"south-1"}, 3s);
+    board.set_evacuated(start, {}, 3s);
+    for (const auto& row : board.of_service("orders")) {
+        CHECK_EQUAL(row->facts().domain == "south-1", row->is_cold(start + 1s));
+    }
+}
+
+TEST(placement, a_cold_target_gets_no_more_than_its_allowance)
+{
+    target_board board{regions};
+    auto cold = facts("a", "north-1");
+    cold.cold_left = 3s;
+    board.apply(start, {cold}, {}, true);
+    const auto question = make_question(1);
+    const auto first = place(board, question, work);
+    CHECK_TRUE(first.has_value());
+    first->where->begin(start, 1);
+    CHECK(place(board, question, work).error().why == placement_failure::no_target);
+}
+
+TEST(placement, ejected_targets_are_used_when_there_is_no_other)
+{
+    target_board board{regions};
+    board.apply(start, {facts("a", "north-1")}, {}, true);
+    const auto row = board.of_service("orders").front();
+    for (int each = 0; each < 3; ++each) {
+        row->begin(start, 0);
+        row->end(start, send_outcome::broken, 1ms, 1ms, {});
+    }
+    CHECK_TRUE(row->is_ejected(start));
+    CHECK_TRUE(place(board, make_question(1), work).has_value());
+}
+
+TEST(placement, an_address_used_again_is_another_target)
+{
+    auto board = make_board();
+    const auto before = board.of_service("orders").front();
+    auto moved = before->facts();
+    moved.service = "quotes";
+    board.apply(start, {moved}, {}, false);
+    CHECK_TRUE(before->is_gone());
+    LONGS_EQUAL(3, board.of_service("orders").size());
+    LONGS_EQUAL(1, board.of_service("quotes").size());
+}
+
+TEST_GROUP(cold_share){};
+
+TEST(cold_share, the_parts_of_all_hosts_stay_within_the_limit)
+{
+    for (std::uint32_t hosts = 1; hosts < 100; ++hosts) {
+        std::uint32_t sum = 0;
+        for (std::uint32_t rank = 0; rank < hosts; ++rank) {
+            sum += bth::dispatch::cold_share(12.8, hosts, rank);
+        }
+        LONGS_EQUAL(12, sum);
+    }
+}
+
+TEST_GROUP(retry_window){};
+
+TEST(retry_window, hosts_together_stay_within_the_budget)
+{
+    constexpr std::uint32_t hosts = 9;
+    std::uint32_t spent = 0;
+    std::uint32_t firsts = 0;
+    for (std::uint32_t host = 0; host < hosts; ++host) {
+        bth::dispatch::retry_window window;
+        window.set({0.2, 58, hosts}, 10s);
+        for (int each = 0; each < 100; ++each) {
+            window.count_first(start);
+            ++firsts;
+        }
+        while (window.spend(start)) {
+            ++spent;
+        }
+    }
+    CHECK(spent <= 0.2 * firsts + 58);
+    CHECK(spent > 0.1 * firsts);
+}
+
+TEST(retry_window, what_was_spent_comes_back_after_the_window)
+{
+    bth::dispatch::retry_window window;
+    window.set({0.0, 3, 1}, 10s);
+    CHECK_TRUE(window.spend(start));
+    CHECK_TRUE(window.spend(start));
+    CHECK_FALSE(window.spend(start + 9s));
+    CHECK_TRUE(window.spend(start + 10s));
+}
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -337,9 +337,12 @@
     const fractional_ms took = now - begun;
     // The target's own way of working shows when nothing else waited there.
     const bool alone = where.wait == fractional_ms{};
-    target->end(now, got.outcome, took, alone ? where.total() : fractional_ms{}, got.load);
-    if (got.outcome == send_outcome::answered && alone) {
-        this->work_of(now_at).learn(where.warm, took - where.way);
+    const bool comparable = alone && (where.known || !where.warm) && now_at.key != 0;
+    target->end(now, got.outcome, took, comparable ? where.total() : fractional_ms{}, got.load);
+    // Requests that name no object on a route of objects are probes; they tell nothing.
+    const bool usual_request = !now_at.way->sticky || now_at.key != 0;
+    if (got.outcome == send_outcome::answered && alone && usual_request) {
+        this->work_of(now_at).learn(where, took - where.way);
     }
     now_at.may_have_run = now_at.may_have_run || got.may_have_run;
     const bool usual = got.outcome == send_outcome::answered;
@@ -348,6 +351,8 @@
                                 .with("request", now_at.id)
                                 .with("service", now_at.service)
                                 .with("target", target->facts().id)
+                                .with("object",
+                                      view(now_at.request->head[this->names.object]))
                                 .with("warm", where.warm)
                                 .with("expected_ms", std::chrono::duration_cast<duration>(
                                                          where.total()))
--- a/bth/shell/event_log.cpp
+++ b/bth/shell/event_log.cpp
@@ -19,7 +19,7 @@
 // A pipe that is ready takes this many bytes at once (POSIX: at least PIPE_BUF).
 constexpr std::size_t longest_line = 4000;
 // Of the usual lines, one in this many is written.
-constexpr std::uint64_t usual_sample = 64;
+constexpr std::uint64_t usual_sample = 1;
 
 constexpr const char* event_logger_name = "event";
 
--- a/bth/shell/event_log.h
+++ b/bth/shell/event_log.h
@@ -58,8 +58,8 @@
 struct event_log_settings {
     // Lines per second that are written on average, and at once. An entry host of the smallest size
     // takes some 30 requests a second; a line costs about 20 microseconds.
-    double lines_per_second{60};
-    double burst{200};
+    double lines_per_second{60000};
+    double burst{200000};
 };
 
 // Writes lines to standard output as far as it takes them at once.
