Refuse what would be late behind a queue; count cold work against busy targets

Cause: an overloaded service answered late or not at all, since every request that could still be answered in its timeout joined the queue, and spilled objects ran cold elsewhere.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -23,11 +23,12 @@
 // A target that failed last is avoided in favour of others unless they are much later.
 constexpr fractional_ms failure_penalty{250.0};
 
-// The queue that a request of the first priority may join, as a share of its time; each lower
-// priority may use this much less of it, so that the urgent ones are refused last.
-constexpr double queue_share = 0.85;
-constexpr double queue_share_step = 0.08;
-constexpr double least_queue_share = 0.4;
+// A request that can't be answered within its objective any more joins only a short queue, of this
+// part of its work: it would make those behind it late too. Each lower priority joins a shorter one,
+// so that the urgent ones are refused last.
+constexpr double late_queue = 0.8;
+constexpr double late_queue_step = 0.1;
+constexpr double least_late_queue = 0.2;
 
 struct candidate {
     placement found;
@@ -101,6 +102,12 @@
     const double ahead = std::max(0.0, row->occupancy(question.now) + 1.0 - slots);
     made.found.wait = work.of(made.found.warm) * row->slowness() * (ahead / slots);
     made.cost = made.found.total() + shed_penalty * row->shed_share();
+    if (!made.found.warm) {
+        // Work on an object that is new to the target holds its slots for longer, at the expense of
+        // the objects that it knows.
+        const double busy = std::min(1.0, row->occupancy(question.now) / slots);
+        made.cost += (work.cold - work.warm) * busy;
+    }
     if (row->on_trial()) {
         made.cost += failure_penalty;
     }
@@ -156,8 +163,8 @@
         return tl::unexpected{unplaced{placement_failure::too_late, found.wait}};
     }
     const double share =
-        std::max(least_queue_share, queue_share - queue_share_step * question.priority);
-    if (found.wait > fractional_ms{} && found.total() > question.time_left * share) {
+        std::max(least_late_queue, late_queue - late_queue_step * question.priority);
+    if (found.total() > question.objective_left && found.wait > work.warm * share) {
         return tl::unexpected{unplaced{placement_failure::overload, found.wait}};
     }
     return best->found;
