--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -117,8 +117,7 @@
 void gateway::take(const fleet::update& news, std::optional<route::configuration> configuration)
 {
     const auto now = shell::monotonic_now();
-    this->entry_count = std::max<std::uint32_t>(news.entry_count, 1);
-    this->entry_rank = news.entry_rank;
+    this->entry_hosts.take(now, news.entry_count, news.entry_rank);
     const bool has_targets = news.targets.whole || !news.targets.changed.empty() ||
                              !news.targets.removed.empty();
     if (has_targets) {
@@ -159,8 +158,11 @@
     const auto* known = this->table.find_service(service);
     const double rate = known == nullptr ? 0.0 : known->cold_rate;
     const auto& limits = this->settings.limits;
-    return dispatch::cold_share((rate * limits.cold_factor + limits.cold_slack) * cold_margin,
-                                this->entry_count, this->entry_rank);
+    const auto part =
+        dispatch::cold_share((rate * limits.cold_factor + limits.cold_slack) * cold_margin,
+                             this->entry_hosts.hosts(), this->entry_hosts.rank());
+    const bool settled = this->entry_hosts.is_settled(shell::monotonic_now());
+    return settled ? part : std::min<std::uint32_t>(part, 1);
 }
 
 dispatch::work_estimate& gateway::work_of(const passage& now_at)
@@ -250,7 +252,7 @@
 
     auto& window = this->retries[now_at.service];
     const auto& limits = this->settings.limits;
-    window.set({limits.retry_ratio, limits.retry_slack, this->entry_count}, limits.retry_window);
+    window.set({limits.retry_ratio, limits.retry_slack, this->entry_hosts.hosts()}, limits.retry_window);
     window.count_first(request->begun);
     ++this->in_flight;
     auto made = co_await this->pass(std::move(now_at));
@@ -344,6 +346,11 @@
     if (got.outcome == send_outcome::answered && alone && usual_request) {
         this->work_of(now_at).learn(where, took - where.way);
     }
+    if (got.outcome == send_outcome::not_reached) {
+        // When it can be reached again it may have been started anew.
+        const auto* known = this->table.find_service(now_at.service);
+        target->assume_cold(now + (known == nullptr ? duration{} : known->cold_time));
+    }
     now_at.may_have_run = now_at.may_have_run || got.may_have_run;
     const bool usual = got.outcome == send_outcome::answered;
     if (!usual || this->events->takes_usual()) {
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "bth/dispatch/board.h"
+#include "bth/dispatch/host_count.h"
 #include "bth/dispatch/placement.h"
 #include "bth/dispatch/retry_window.h"
 #include "bth/fleet/messages.h"
@@ -124,8 +125,7 @@
     std::map<std::string, weighted_split> splits;
     std::map<std::string, dispatch::work_estimate> work;
     std::map<std::string, dispatch::retry_window> retries;
-    std::uint32_t entry_count{1};
-    std::uint32_t entry_rank{};
+    dispatch::host_count entry_hosts;
     std::size_t in_flight{};
     std::mt19937 random{std::random_device{}()};
 };
