--- a/bth/dispatch/placement_test.cpp
+++ b/bth/dispatch/placement_test.cpp
@@ -100,7 +100,7 @@
 {
     auto board = make_board();
     for (const auto* id : {"a", "b", "c"}) {
-        fill(board, id, 9);
+        fill(board, id, 12);
     }
     STRCMP_EQUAL("d", place(board, make_question(5), work)->where->facts().id.c_str());
 }
--- a/bth/gateway/path_test.cpp
+++ b/bth/gateway/path_test.cpp
@@ -1,1 +1,3 @@
+#include "bth/gateway/gateway.h"
+
 #include <CppUTest/TestHarness.h>
