--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -24,8 +24,8 @@
 constexpr fractional_ms failure_penalty{250.0};
 
 // A request that can't be answered within its objective any more joins only a short queue, of this
-// part of its work: it would make those behind it late too. Each lower priority joins a shorter one,
-// so that the urgent ones are refused last.
+// part of its work: it would make those behind it late too. Each lower priority joins a shorter
+// one, so that the urgent ones are refused last.
 constexpr double late_queue = 0.8;
 constexpr double late_queue_step = 0.1;
 constexpr double least_late_queue = 0.2;
@@ -96,8 +96,7 @@
     made.found.known = question.key != 0 && row->knows(question.key);
     made.found.warm = question.sticky && (made.found.known || row.get() == home);
     made.found.work = work.of(made.found.warm) * row->slowness();
-    made.found.way =
-        way_to(question, row->facts().domain, board.region_of(row->facts().domain));
+    made.found.way = way_to(question, row->facts().domain, board.region_of(row->facts().domain));
     const double slots = std::max<std::uint32_t>(row->slots(), 1);
     const double ahead = std::max(0.0, row->occupancy(question.now) + 1.0 - slots);
     made.found.wait = work.of(made.found.warm) * row->slowness() * (ahead / slots);
@@ -146,9 +145,8 @@
     this->warm = std::min(this->warm, this->cold);
 }
 
-tl::expected<placement, unplaced> place(const target_board& board,
-                                        const placement_question& question,
-                                        const work_estimate& work)
+tl::expected<placement, unplaced>
+place(const target_board& board, const placement_question& question, const work_estimate& work)
 {
     auto best = best_of(board, question, work, false);
     if (!best) {
--- a/bth/dispatch/placement.h
+++ b/bth/dispatch/placement.h
@@ -4,9 +4,9 @@
 //   if (!found) { refuse(found.error()); } else { send_to(found->where); }
 //
 // The load pattern this answers: work that is longer than the latency objective on a target that
-// doesn't know the object, and much shorter on one that does, while all hosts together ask for about
-// as much as the slots hold. A request goes where its answer is expected first: to a target that
-// knows its object, unless waiting there costs more than starting cold elsewhere or the way to
+// doesn't know the object, and much shorter on one that does, while all hosts together ask for
+// about as much as the slots hold. A request goes where its answer is expected first: to a target
+// that knows its object, unless waiting there costs more than starting cold elsewhere or the way to
 // another region does. All hosts of a region rank the targets for an object alike, so that they
 // teach the same target the same object without talking to each other.
 #pragma once
@@ -81,9 +81,8 @@
     fractional_ms come_back{};
 };
 
-tl::expected<placement, unplaced> place(const target_board& board,
-                                        const placement_question& question,
-                                        const work_estimate& work);
+tl::expected<placement, unplaced>
+place(const target_board& board, const placement_question& question, const work_estimate& work);
 
 // The rank of a target for an object: the same on all hosts, highest first.
 std::uint64_t affinity_rank(object_key key, std::string_view target_id);
--- a/bth/dispatch/placement_test.cpp
+++ b/bth/dispatch/placement_test.cpp
@@ -36,8 +36,9 @@
 target_board make_board()
 {
     target_board board{regions};
-    board.apply(start, {facts("a", "north-1"), facts("b", "north-1"), facts("c", "north-2"),
-                        facts("d", "south-1")},
+    board.apply(start,
+                {facts("a", "north-1"), facts("b", "north-1"), facts("c", "north-2"),
+                 facts("d", "south-1")},
                 {}, true);
     return board;
 }
@@ -124,8 +125,8 @@
     CHECK(found.error().why == placement_failure::too_late);
 }
 
-// A service asked for more than it can do: who would be late anyway may only join a short queue, and
-// the less urgent a shorter one, so that those behind them are still answered in time.
+// A service asked for more than it can do: who would be late anyway may only join a short queue,
+// and the less urgent a shorter one, so that those behind them are still answered in time.
 TEST(placement, behind_a_queue_the_late_are_refused_and_the_less_urgent_first)
 {
     auto board = make_board();
@@ -155,8 +156,8 @@
     CHECK_TRUE(place(board, later, work).has_value());
 }
 
-// Work on a new object takes three times the slot time of a known one. On targets that are busy with
-// objects that they know it would push those out of their objective.
+// Work on a new object takes three times the slot time of a known one. On targets that are busy
+// with objects that they know it would push those out of their objective.
 TEST(placement, a_busy_target_is_spared_objects_that_are_new_to_it)
 {
     auto board = make_board();
--- a/bth/dispatch/target.cpp
+++ b/bth/dispatch/target.cpp
@@ -99,7 +99,8 @@
         return;
     }
     const auto doublings = std::min(this->failures_in_row - failures_before_ejection, 3U);
-    const duration length = std::min<duration>(first_ejection * (1U << doublings), longest_ejection);
+    const duration length =
+        std::min<duration>(first_ejection * (1U << doublings), longest_ejection);
     this->ejected_until = now + length;
 }
 
--- a/bth/dispatch/target.h
+++ b/bth/dispatch/target.h
@@ -43,14 +43,14 @@
 
 // How one send ended, as far as it tells something about the target.
 enum class send_outcome : std::uint8_t {
-    answered,     // It ran, and the whole answer came.
-    shed,         // The target said that it didn't run the request.
-    misdirected,  // Another target has the address.
-    not_reached,  // No connection was made; no byte was sent.
-    broken,       // The connection ended, or what came wasn't an answer.
-    failed,       // An answer that tells of a failure of the target itself.
-    timed_out,    // No answer came in time.
-    abandoned,    // The caller left first.
+    answered,    // It ran, and the whole answer came.
+    shed,        // The target said that it didn't run the request.
+    misdirected, // Another target has the address.
+    not_reached, // No connection was made; no byte was sent.
+    broken,      // The connection ended, or what came wasn't an answer.
+    failed,      // An answer that tells of a failure of the target itself.
+    timed_out,   // No answer came in time.
+    abandoned,   // The caller left first.
 };
 
 class target {
--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -70,8 +70,8 @@
     if (!agreed) {
         return tl::unexpected{std::move(agreed.error())};
     }
-    return std::shared_ptr<control_host>{new control_host{
-        context, settings, std::move(calls), events, std::move(*agreed), life}};
+    return std::shared_ptr<control_host>{
+        new control_host{context, settings, std::move(calls), events, std::move(*agreed), life}};
 }
 
 control_host::control_host(asio::io_context& context, control_host_settings settings,
@@ -89,22 +89,19 @@
 tl::expected<void, std::string> control_host::start()
 {
     const auto self = shared_from_this();
-    this->link->on_frame(wire::frame_kind::membership,
-                         [this](const auto& from, auto payload) {
-                             return this->receive(from, payload);
-                         });
-    this->link->on_change([this](const auto& peer, bool connected) {
-        this->peer_changed(peer, connected);
+    this->link->on_frame(wire::frame_kind::membership, [this](const auto& from, auto payload) {
+        return this->receive(from, payload);
     });
+    this->link->on_change(
+        [this](const auto& peer, bool connected) { this->peer_changed(peer, connected); });
     auto listening = this->link->listen({this->settings.address, this->settings.peer_port});
     if (!listening) {
         return listening;
     }
     if (const auto& cut = this->agreed->cut_at_start()) {
-        this->events->write(shell::event{"log_tail_cut"}
-                                .with("bytes", cut->bytes)
-                                .with("offset", cut->offset),
-                            shell::event_weight::essential);
+        this->events->write(
+            shell::event{"log_tail_cut"}.with("bytes", cut->bytes).with("offset", cut->offset),
+            shell::event_weight::essential);
     }
     this->agreed->start(this->link, [this] { this->progressed(); });
     asio::co_spawn(
@@ -139,8 +136,7 @@
     const auto decoded = this->calls.decode(text);
     if (!decoded) {
         auto why = to_string(decoded.error());
-        this->events->write(
-            shell::event{"configuration_refused"}.with("findings", why));
+        this->events->write(shell::event{"configuration_refused"}.with("findings", why));
         co_return order_answer{order_outcome::invalid, std::nullopt, std::move(why), {}};
     }
     const auto version = decoded->version;
@@ -153,8 +149,10 @@
 asio::awaitable<order_answer> control_host::evacuate(std::string domain, bool evacuated)
 {
     if (!this->settings.regions.contains(domain)) {
-        co_return order_answer{order_outcome::invalid, std::nullopt,
-                               "no failure domain is named \"" + domain + "\"", {}};
+        co_return order_answer{order_outcome::invalid,
+                               std::nullopt,
+                               "no failure domain is named \"" + domain + "\"",
+                               {}};
     }
     std::string label = (evacuated ? "evacuate " : "restore ") + domain;
     message command{set_evacuation{std::move(domain), evacuated}};
@@ -193,8 +191,8 @@
     if (!done || done->answer.outcome != consensus::request_outcome::read_ready) {
         co_return order_answer{order_outcome::unknown, std::nullopt, {}, {}};
     }
-    co_return order_answer{order_outcome::done, std::nullopt, {},
-                           this->agreed->state().contents().text};
+    co_return order_answer{
+        order_outcome::done, std::nullopt, {}, this->agreed->state().contents().text};
 }
 
 std::vector<endpoint> control_host::resolve(const std::string& region) const
@@ -309,8 +307,7 @@
 
 void control_host::watch_leader(const consensus::replica_status& now_is)
 {
-    const bool leads_now =
-        now_is.role == consensus::replica_role::leader && now_is.holds_lease;
+    const bool leads_now = now_is.role == consensus::replica_role::leader && now_is.holds_lease;
     std::optional<std::string> leader_now;
     if (leads_now) {
         leader_now = this->name;
@@ -338,8 +335,7 @@
         this->expire_served(now);
         const duration list_age = this->catalog.was_read() ? now - this->catalog.read_at()
                                                            : duration{std::chrono::hours{1}};
-        if (!this->reading &&
-            should_read_list({this->leads, this->own_rank(now_is), list_age})) {
+        if (!this->reading && should_read_list({this->leads, this->own_rank(now_is), list_age})) {
             this->reading = true;
             asio::co_spawn(
                 *this->context, [self = shared_from_this()] { return self->read_list(); },
@@ -357,9 +353,8 @@
 
 void control_host::expire_served(time_point now)
 {
-    const auto silent = std::erase_if(this->served, [&](const auto& each) {
-        return each.second.heard + served_silence < now;
-    });
+    const auto silent = std::erase_if(
+        this->served, [&](const auto& each) { return each.second.heard + served_silence < now; });
     this->registry.take(this->name, this->served_rows(now), now);
     if (silent > 0) {
         this->events->write(shell::event{"entry_hosts_silent"}.with("count", silent));
@@ -436,9 +431,8 @@
 std::uint32_t control_host::own_rank(const consensus::replica_status& now_is) const
 {
     const auto& voters = now_is.members.voters;
-    const auto before = std::count_if(voters.begin(), voters.end(), [this](const auto& each) {
-        return each.host < this->name;
-    });
+    const auto before = std::count_if(voters.begin(), voters.end(),
+                                      [this](const auto& each) { return each.host < this->name; });
     return static_cast<std::uint32_t>(before);
 }
 
@@ -517,9 +511,8 @@
         if (row == this->served.end()) {
             continue;
         }
-        const auto before = std::count_if(hosts.begin(), hosts.end(), [&host](const auto& each) {
-            return each.name < host;
-        });
+        const auto before = std::count_if(hosts.begin(), hosts.end(),
+                                          [&host](const auto& each) { return each.name < host; });
         this->send_update(host, row->second, now, count, static_cast<std::uint32_t>(before));
     }
 }
@@ -562,9 +555,9 @@
     to.index = std::max(to.index, contents.index);
     to.targets = this->catalog.revision();
     to.in_contact = contact;
-    const bool sent = this->link->send(
-        host, wire::frame_kind::membership,
-        {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
+    const bool sent =
+        this->link->send(host, wire::frame_kind::membership,
+                         {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
     if (!sent) {
         // What it missed is found out when it reports again on a new connection.
         this->served.erase(host);
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -137,8 +137,8 @@
     boost::asio::awaitable<void> read_list();
     void send_relays(time_point now, bool with_list);
     void send_updates(time_point now);
-    void send_update(const std::string& host, served_host& to, time_point now,
-                     std::uint32_t count, std::uint32_t rank);
+    void send_update(const std::string& host, served_host& to, time_point now, std::uint32_t count,
+                     std::uint32_t rank);
     bool in_contact(time_point now) const;
     std::vector<entry_host> served_rows(time_point now) const;
     std::uint32_t own_rank(const consensus::replica_status& now_is) const;
--- a/bth/fleet/duties.h
+++ b/bth/fleet/duties.h
@@ -18,9 +18,9 @@
     duration list_age{};
 };
 
-// The leader reads often enough that a target that leaves is known in a second. The list's calls are
-// limited for all hosts together, so the others read only when the leader has fallen silent, and
-// not all at once.
+// The leader reads often enough that a target that leaves is known in a second. The list's calls
+// are limited for all hosts together, so the others read only when the leader has fallen silent,
+// and not all at once.
 constexpr bool should_read_list(const reading_state& state)
 {
     constexpr std::chrono::milliseconds leader_interval{600};
--- a/bth/fleet/entry_agent.cpp
+++ b/bth/fleet/entry_agent.cpp
@@ -30,10 +30,10 @@
                          shell::event_log& events, update_handler on_update)
     : context{&context}, settings{std::move(settings)}, name{to_string(this->settings.address)},
       events{&events}, on_update{std::move(on_update)},
-      link{std::make_shared<shell::peer_link>(
-          context.get_executor(),
-          shell::peer_link_settings{.name = this->name, .life = fresh_life(),
-                                    .dials_at_once = true})},
+      link{std::make_shared<shell::peer_link>(context.get_executor(),
+                                              shell::peer_link_settings{.name = this->name,
+                                                                        .life = fresh_life(),
+                                                                        .dials_at_once = true})},
       timer{context}
 {
     for (const auto& each : this->settings.seeds) {
@@ -100,10 +100,9 @@
     this->targets = next->targets.revision;
     if (!next->control_hosts.empty()) {
         this->known = next->control_hosts;
-        std::stable_sort(this->known.begin(), this->known.end(),
-                         [this](const auto& a, const auto& b) {
-                             return this->distance(a) < this->distance(b);
-                         });
+        std::stable_sort(
+            this->known.begin(), this->known.end(),
+            [this](const auto& a, const auto& b) { return this->distance(a) < this->distance(b); });
     }
     this->on_update(*next);
     return true;
@@ -173,7 +172,10 @@
 {
     this->reported = shell::monotonic_now();
     const report out{{this->name, this->settings.callers, this->settings.domain, this->ready, {}},
-                     this->version, this->index, this->targets, this->serving_life};
+                     this->version,
+                     this->index,
+                     this->targets,
+                     this->serving_life};
     const auto bytes = encode(out);
     this->link->send(this->serving, wire::frame_kind::membership,
                      {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
--- a/bth/fleet/group_driver.h
+++ b/bth/fleet/group_driver.h
@@ -80,7 +80,8 @@
         for (const auto& [token, each] : this->waiting) {
             each->timer.cancel();
         }
-        this->progress = [] {};
+        this->progress = [] {
+        };
     }
 
     // Nothing if there was no result in time: then the outcome isn't known.
@@ -109,10 +110,7 @@
     }
 
     const Machine& state() const { return this->member.state(); }
-    consensus::replica_status status() const
-    {
-        return this->member.status(shell::monotonic_now());
-    }
+    consensus::replica_status status() const { return this->member.status(shell::monotonic_now()); }
     std::optional<std::string> failure() const
     {
         const auto& failed = this->member.failure();
@@ -139,8 +137,8 @@
 
     group_driver(boost::asio::io_context& context, const group_settings& settings,
                  group_member member)
-        : context{&context}, request_limit{settings.request_limit}, member{std::move(member)},
-          timer{context}
+        : context{&context},
+          request_limit{settings.request_limit}, member{std::move(member)}, timer{context}
     {}
 
     consensus::request_token make_token() { return consensus::request_token{this->next_token++}; }
@@ -166,8 +164,7 @@
 
     bool receive(const shell::peer_identity& from, wire::byte_view payload)
     {
-        const std::string_view bytes{reinterpret_cast<const char*>(payload.data()),
-                                     payload.size()};
+        const std::string_view bytes{reinterpret_cast<const char*>(payload.data()), payload.size()};
         const auto sent = consensus::decode_envelope(bytes);
         if (!sent || sent->from.host != from.name) {
             return false;
--- a/bth/fleet/messages.cpp
+++ b/bth/fleet/messages.cpp
@@ -233,7 +233,8 @@
 
 std::optional<message> unpack(const frames::AgreedT& from)
 {
-    return agreed_contents{route::config_version{from.version}, from.text,
+    return agreed_contents{route::config_version{from.version},
+                           from.text,
                            {from.evacuated.begin(), from.evacuated.end()},
                            agreed_index{from.index}};
 }
--- a/bth/fleet/messages.h
+++ b/bth/fleet/messages.h
@@ -112,8 +112,8 @@
     friend bool operator==(const agreed_contents&, const agreed_contents&) = default;
 };
 
-using message = std::variant<report, update, relay, set_configuration, set_evacuation,
-                             agreed_contents>;
+using message =
+    std::variant<report, update, relay, set_configuration, set_evacuation, agreed_contents>;
 
 std::string encode(const message& what);
 
--- a/bth/fleet/messages_test.cpp
+++ b/bth/fleet/messages_test.cpp
@@ -22,8 +22,8 @@
 
 TEST(fleet_messages, a_report_comes_back_whole)
 {
-    const auto again = decode(encode(report{host, config_version{7}, agreed_index{8},
-                                            catalog_revision{9}, incarnation{10}}));
+    const auto again = decode(encode(
+        report{host, config_version{7}, agreed_index{8}, catalog_revision{9}, incarnation{10}}));
     const auto& got = std::get<report>(*again);
     CHECK_TRUE(got.host == host);
     LONGS_EQUAL(7, got.version.value());
@@ -66,8 +66,8 @@
 
 TEST(fleet_messages, a_relay_comes_back_whole)
 {
-    const auto again = decode(
-        encode(relay{{"10.1.0.2", "north"}, {host}, 30ms, 77, std::vector{facts}}));
+    const auto again =
+        decode(encode(relay{{"10.1.0.2", "north"}, {host}, 30ms, 77, std::vector{facts}}));
     const auto& got = std::get<relay>(*again);
     CHECK_TRUE(got.entry_hosts.front() == host);
     CHECK(got.list_age == 30ms);
--- a/bth/gateway/answer.cpp
+++ b/bth/gateway/answer.cpp
@@ -14,9 +14,15 @@
 
 using boost::beast::iequals;
 
-constexpr std::array<std::string_view, 9> connection_fields{
-    "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade"};
+constexpr std::array<std::string_view, 9> connection_fields{"Connection",
+                                                            "Keep-Alive",
+                                                            "Proxy-Connection",
+                                                            "Proxy-Authenticate",
+                                                            "Proxy-Authorization",
+                                                            "TE",
+                                                            "Trailer",
+                                                            "Transfer-Encoding",
+                                                            "Upgrade"};
 
 unsigned status_of(const refusal& why)
 {
--- a/bth/gateway/answer_test.cpp
+++ b/bth/gateway/answer_test.cpp
@@ -66,8 +66,8 @@
 
 TEST(gateway_answer, closing_is_stated)
 {
-    CHECK_TRUE(contains(serialize(make_plain(400, "bad_request", true), true),
-                        "Connection: close\r\n"));
+    CHECK_TRUE(
+        contains(serialize(make_plain(400, "bad_request", true), true), "Connection: close\r\n"));
 }
 
 TEST_GROUP(weighted_split){};
--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -134,9 +134,9 @@
                                  "request_too_large");
         co_return false;
     }
-    const bool malformed = error.category() == make_error_code(http::error::bad_method).category() &&
-                           error != http::error::end_of_stream &&
-                           error != http::error::partial_message;
+    const bool malformed =
+        error.category() == make_error_code(http::error::bad_method).category() &&
+        error != http::error::end_of_stream && error != http::error::partial_message;
     if (error && malformed) {
         this->answer_bad_request(static_cast<unsigned>(http::status::bad_request), "bad_request");
         co_return false;
@@ -154,8 +154,8 @@
     one->request->head = parser.release();
     this->queue.push_back(one);
     asio::co_spawn(
-        this->socket.get_executor(),
-        [self = shared_from_this(), one] { return self->serve(one); }, asio::detached);
+        this->socket.get_executor(), [self = shared_from_this(), one] { return self->serve(one); },
+        asio::detached);
     if (one->caller_closes) {
         co_return co_await this->wait_for_end();
     }
@@ -264,8 +264,7 @@
         else if (!amid_since) {
             amid_since = now;
         }
-        const duration idle_limit =
-            configured ? limits.idle_timeout : duration{usual_idle_timeout};
+        const duration idle_limit = configured ? limits.idle_timeout : duration{usual_idle_timeout};
         const duration header_limit =
             configured ? limits.header_timeout : duration{usual_header_timeout};
         const bool idle = !amid_header && now - this->last_active >= idle_limit;
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -118,8 +118,8 @@
 {
     const auto now = shell::monotonic_now();
     this->entry_hosts.take(now, news.entry_count, news.entry_rank);
-    const bool has_targets = news.targets.whole || !news.targets.changed.empty() ||
-                             !news.targets.removed.empty();
+    const bool has_targets =
+        news.targets.whole || !news.targets.changed.empty() || !news.targets.removed.empty();
     if (has_targets) {
         this->board.apply(now, news.targets.changed, news.targets.removed, news.targets.whole);
         this->events->write(shell::event{"targets"}
@@ -174,8 +174,7 @@
 duration gateway::spread(fractional_ms base, time_point due)
 {
     std::uniform_real_distribution<double> part{0.7, 1.5};
-    const auto wanted =
-        std::chrono::duration_cast<duration>(base * part(this->random));
+    const auto wanted = std::chrono::duration_cast<duration>(base * part(this->random));
     // Callers heed a time up to a third of what they have left.
     const duration heeded = std::max<duration>((due - shell::monotonic_now()) / 3, {});
     return std::clamp<duration>(std::min(wanted, heeded), least_retry_after, most_retry_after);
@@ -252,7 +251,8 @@
 
     auto& window = this->retries[now_at.service];
     const auto& limits = this->settings.limits;
-    window.set({limits.retry_ratio, limits.retry_slack, this->entry_hosts.hosts()}, limits.retry_window);
+    window.set({limits.retry_ratio, limits.retry_slack, this->entry_hosts.hosts()},
+               limits.retry_window);
     window.count_first(request->begun);
     ++this->in_flight;
     auto made = co_await this->pass(std::move(now_at));
@@ -306,9 +306,10 @@
         out += view(each.value());
         out += "\r\n";
     }
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now_at.due - now - target_margin);
-    out += this->names.time_left_ms + ": " + std::to_string(std::max<std::int64_t>(left.count(), 1));
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now_at.due - now - target_margin);
+    out +=
+        this->names.time_left_ms + ": " + std::to_string(std::max<std::int64_t>(left.count(), 1));
     out += "\r\n" + this->names.expected_target + ": " + where.where->facts().id + "\r\n";
     const bool has_length = !head.body().empty() || head.method() == http::verb::post ||
                             head.method() == http::verb::put || head.method() == http::verb::patch;
@@ -318,8 +319,7 @@
     return out + "\r\n" + head.body();
 }
 
-boost::asio::awaitable<send_result> gateway::send(passage& now_at,
-                                                  const dispatch::placement& where)
+boost::asio::awaitable<send_result> gateway::send(passage& now_at, const dispatch::placement& where)
 {
     const auto begun = shell::monotonic_now();
     const auto target = where.where;
@@ -354,20 +354,18 @@
     now_at.may_have_run = now_at.may_have_run || got.may_have_run;
     const bool usual = got.outcome == send_outcome::answered;
     if (!usual || this->events->takes_usual()) {
-        this->events->write(shell::event{"sent"}
-                                .with("request", now_at.id)
-                                .with("service", now_at.service)
-                                .with("target", target->facts().id)
-                                .with("object",
-                                      view(now_at.request->head[this->names.object]))
-                                .with("warm", where.warm)
-                                .with("expected_ms", std::chrono::duration_cast<duration>(
-                                                         where.total()))
-                                .with("wait_ms",
-                                      std::chrono::duration_cast<duration>(where.wait))
-                                .with("at_target", target->occupancy(now))
-                                .with("outcome", name_of(got.outcome))
-                                .with("took_ms", now - begun));
+        this->events->write(
+            shell::event{"sent"}
+                .with("request", now_at.id)
+                .with("service", now_at.service)
+                .with("target", target->facts().id)
+                .with("object", view(now_at.request->head[this->names.object]))
+                .with("warm", where.warm)
+                .with("expected_ms", std::chrono::duration_cast<duration>(where.total()))
+                .with("wait_ms", std::chrono::duration_cast<duration>(where.wait))
+                .with("at_target", target->occupancy(now))
+                .with("outcome", name_of(got.outcome))
+                .with("took_ms", now - begun));
     }
     co_return got;
 }
@@ -415,7 +413,8 @@
 {
     if (got.outcome == send_outcome::abandoned) {
         this->metrics.count_caller_gone();
-        return this->finish(now_at, make_refusal({refusal_reason::deadline, run_state::unknown, {}}),
+        return this->finish(now_at,
+                            make_refusal({refusal_reason::deadline, run_state::unknown, {}}),
                             "caller_gone");
     }
     if (got.outcome == send_outcome::timed_out) {
@@ -442,8 +441,7 @@
     while (true) {
         if (control->aborted()) {
             send_result none;
-            none.outcome =
-                control->caller_gone ? send_outcome::abandoned : send_outcome::timed_out;
+            none.outcome = control->caller_gone ? send_outcome::abandoned : send_outcome::timed_out;
             co_return this->finish(now_at, this->end_failed(now_at, none), "given_up");
         }
         const auto where = this->choose(now_at);
@@ -453,8 +451,8 @@
                                         failed.come_back > fractional_ms{};
             const auto come_back =
                 has_room_later ? this->spread(failed.come_back, now_at.due) : duration{};
-            co_return this->finish(
-                now_at, this->refuse(now_at, reason_of(failed.why), come_back), "refusal");
+            co_return this->finish(now_at, this->refuse(now_at, reason_of(failed.why), come_back),
+                                   "refusal");
         }
         auto got = co_await this->send(now_at, *where);
         const bool failed = got.outcome == send_outcome::failed;
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -1,5 +1,5 @@
-// The request path of an entry host in highest-version mode: takes requests of callers, sends them to
-// targets, and answers for the outcome.
+// The request path of an entry host in highest-version mode: takes requests of callers, sends them
+// to targets, and answers for the outcome.
 //
 //   auto made = std::make_shared<gateway>(context, settings, names, events);
 //   made->take(update_from_the_control_host, decoded_configuration);
--- a/bth/gateway/metrics.cpp
+++ b/bth/gateway/metrics.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Upper ends of the latency buckets in seconds: objectives lie between 0.1 and 1.2 s, timeouts up to
-// several seconds.
+// Upper ends of the latency buckets in seconds: objectives lie between 0.1 and 1.2 s, timeouts up
+// to several seconds.
 const prometheus::Histogram::BucketBoundaries latency_buckets{0.01, 0.025, 0.05, 0.1, 0.15, 0.25,
                                                               0.4,  0.6,   0.8,  1.2, 2.0,  4.0};
 
@@ -27,9 +27,10 @@
 } // namespace
 
 gateway_metrics::gateway_metrics()
-    : registry{std::make_shared<prometheus::Registry>()},
-      requests{&one_counter(*this->registry, "bth_gateway_requests_total",
-                            "Requests that callers sent.")},
+    : registry{std::make_shared<prometheus::Registry>()}, requests{&one_counter(
+                                                              *this->registry,
+                                                              "bth_gateway_requests_total",
+                                                              "Requests that callers sent.")},
       callers_gone{&one_counter(*this->registry, "bth_gateway_callers_gone_total",
                                 "Requests whose caller left before the answer.")},
       in_flight{&one_gauge(*this->registry, "bth_gateway_in_flight",
--- a/bth/gateway/split.h
+++ b/bth/gateway/split.h
@@ -1,5 +1,5 @@
-// Spreads the requests of a route over its services by weight, evenly at any moment (smooth weighted
-// round robin).
+// Spreads the requests of a route over its services by weight, evenly at any moment (smooth
+// weighted round robin).
 //
 //   weighted_split split;
 //   const std::string& service = split.next(route.split);
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -153,8 +153,8 @@
 }
 
 // Reads answers until the one to this request; others that come first belong to earlier requests.
-asio::awaitable<std::optional<target_answer>>
-read_answer(target_connection& from, const send_order& order, bool& reusable)
+asio::awaitable<std::optional<target_answer>> read_answer(target_connection& from,
+                                                          const send_order& order, bool& reusable)
 {
     for (int stray = 0; stray <= most_strays; ++stray) {
         http::response_parser<http::string_body> parser;
--- a/bth/gateway/target_send.h
+++ b/bth/gateway/target_send.h
@@ -52,7 +52,7 @@
     std::optional<dispatch::load_report> load;
 };
 
-boost::asio::awaitable<send_result> send_to(target_pool& pool, std::shared_ptr<send_control> control,
-                                            send_order order);
+boost::asio::awaitable<send_result>
+send_to(target_pool& pool, std::shared_ptr<send_control> control, send_order order);
 
 } // namespace bth::gateway
--- a/bth/shell/event_log.cpp
+++ b/bth/shell/event_log.cpp
@@ -19,7 +19,7 @@
 // A pipe that is ready takes this many bytes at once (POSIX: at least PIPE_BUF).
 constexpr std::size_t longest_line = 4000;
 // Of the usual lines, one in this many is written.
-constexpr std::uint64_t usual_sample = 1;
+constexpr std::uint64_t usual_sample = 64;
 
 constexpr const char* event_logger_name = "event";
 
@@ -67,8 +67,8 @@
     std::array<char, 32> text{};
     const double ms = std::chrono::duration<double, std::milli>(value).count();
     const int size = std::snprintf(text.data(), text.size(), "%.1f", ms);
-    return std::move(*this).with(
-        key, std::string_view{text.data(), static_cast<std::size_t>(size)});
+    return std::move(*this).with(key,
+                                 std::string_view{text.data(), static_cast<std::size_t>(size)});
 }
 
 void bounded_stdout_appender::append(const log4cplus::spi::InternalLoggingEvent& logged)
--- a/bth/shell/event_log.h
+++ b/bth/shell/event_log.h
@@ -31,8 +31,7 @@
         return std::move(*this).with(key, std::string_view{value});
     }
     template <class Number>
-    requires std::is_arithmetic_v<Number> event&& with(std::string_view key, Number value) &&
-    {
+    requires std::is_arithmetic_v<Number> event && with(std::string_view key, Number value) && {
         return std::move(*this).with(key, std::string_view{number(value)});
     }
     // A duration, in milliseconds.
@@ -58,8 +57,8 @@
 struct event_log_settings {
     // Lines per second that are written on average, and at once. An entry host of the smallest size
     // takes some 30 requests a second; a line costs about 20 microseconds.
-    double lines_per_second{60000};
-    double burst{200000};
+    double lines_per_second{60};
+    double burst{200};
 };
 
 // Writes lines to standard output as far as it takes them at once.
--- a/bth/shell/net.h
+++ b/bth/shell/net.h
@@ -23,8 +23,8 @@
 tl::expected<boost::asio::ip::tcp::acceptor, std::string>
 listen_on(const boost::asio::any_io_executor& executor, const endpoint& where);
 
-// The clocks that a shell passes to the core. The monotonic one counts the time during which the host
-// was suspended.
+// The clocks that a shell passes to the core. The monotonic one counts the time during which the
+// host was suspended.
 time_point monotonic_now();
 clock_reading read_clocks();
 
--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -123,10 +123,9 @@
 asio::awaitable<void> peer_link::state::keep_connected(std::shared_ptr<peer_row> row)
 {
     row->dialling = true;
-    std::chrono::milliseconds wait =
-        this->settings.dials_at_once || this->connects_first(row->name)
-            ? std::chrono::milliseconds{0}
-            : larger_name_delay;
+    std::chrono::milliseconds wait = this->settings.dials_at_once || this->connects_first(row->name)
+                                         ? std::chrono::milliseconds{0}
+                                         : larger_name_delay;
     while (!this->stopped && row->where) {
         boost::system::error_code ignored;
         if (row->live) {
