--- a/bth/dispatch/board.cpp
+++ b/bth/dispatch/board.cpp
@@ -76,6 +76,12 @@
     return rows == this->by_service.end() ? none : rows->second;
 }
 
+target_ptr target_board::find(std::string_view id) const
+{
+    const auto known = this->by_id.find(id);
+    return known == this->by_id.end() ? nullptr : known->second;
+}
+
 bool target_board::may_serve(const target& row) const
 {
     return !row.is_gone() && !row.facts().draining && !this->evacuated.contains(row.facts().domain);
--- a/bth/dispatch/board.h
+++ b/bth/dispatch/board.h
@@ -35,6 +35,8 @@
     void set_evacuated(time_point now, const std::set<std::string>& domains, duration cold_time);
 
     const std::vector<target_ptr>& of_service(std::string_view service) const;
+    // The target with that id, or null.
+    target_ptr find(std::string_view id) const;
     // Whether new work may go to the target at all.
     bool may_serve(const target& row) const;
     // The region of a failure domain; empty if it is unknown.
--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -52,6 +52,14 @@
     return region == question.region ? way_in_region : way_between_regions;
 }
 
+// A cold target bears little, and only hosts of its region know what its owner sends it.
+bool may_take_cold(const target_board& board, const placement_question& question,
+                   const target_ptr& row)
+{
+    return board.region_of(row->facts().domain) == question.region &&
+           row->sent_lately(question.now) < question.cold_allowance;
+}
+
 bool may_take(const target_board& board, const placement_question& question, const target_ptr& row,
               bool even_ejected)
 {
@@ -62,7 +70,7 @@
         question.tried.end()) {
         return false;
     }
-    if (row->is_cold(question.now) && row->sent_lately(question.now) >= question.cold_allowance) {
+    if (row->is_cold(question.now) && !may_take_cold(board, question, row)) {
         return false;
     }
     return even_ejected || !row->is_ejected(question.now);
@@ -132,6 +140,21 @@
     return best;
 }
 
+// Whether a request that found its best target is worth sending there.
+tl::expected<placement, unplaced> admit(const placement_question& question,
+                                        const work_estimate& work, const placement& found)
+{
+    if (found.total() > question.time_left) {
+        return tl::unexpected{unplaced{placement_failure::too_late, found.wait}};
+    }
+    const double share =
+        std::max(least_late_queue, late_queue - late_queue_step * question.priority);
+    if (found.total() > question.objective_left && found.wait > work.warm * share) {
+        return tl::unexpected{unplaced{placement_failure::overload, found.wait}};
+    }
+    return found;
+}
+
 } // namespace
 
 void work_estimate::learn(const placement& from, fractional_ms took)
@@ -145,6 +168,18 @@
     this->warm = std::min(this->warm, this->cold);
 }
 
+tl::expected<placement, unplaced> place_at(const target_board& board,
+                                           const placement_question& question,
+                                           const target_ptr& where, const work_estimate& work)
+{
+    if (!may_take(board, question, where, false)) {
+        return tl::unexpected{unplaced{placement_failure::no_target, work.warm}};
+    }
+    const auto* home =
+        question.key != 0 ? home_of(board, question, board.of_service(question.service)) : nullptr;
+    return admit(question, work, weigh(board, question, work, where, home).found);
+}
+
 tl::expected<placement, unplaced>
 place(const target_board& board, const placement_question& question, const work_estimate& work)
 {
@@ -156,16 +191,7 @@
     if (!best) {
         return tl::unexpected{unplaced{placement_failure::no_target, work.warm}};
     }
-    const auto& found = best->found;
-    if (found.total() > question.time_left) {
-        return tl::unexpected{unplaced{placement_failure::too_late, found.wait}};
-    }
-    const double share =
-        std::max(least_late_queue, late_queue - late_queue_step * question.priority);
-    if (found.total() > question.objective_left && found.wait > work.warm * share) {
-        return tl::unexpected{unplaced{placement_failure::overload, found.wait}};
-    }
-    return best->found;
+    return admit(question, work, best->found);
 }
 
 std::uint64_t affinity_rank(object_key key, std::string_view target_id)
--- a/bth/dispatch/placement.h
+++ b/bth/dispatch/placement.h
@@ -81,6 +81,11 @@
     fractional_ms come_back{};
 };
 
+// The same for one given target, as its owner knows it.
+tl::expected<placement, unplaced> place_at(const target_board& board,
+                                           const placement_question& question,
+                                           const target_ptr& where, const work_estimate& work);
+
 tl::expected<placement, unplaced>
 place(const target_board& board, const placement_question& question, const work_estimate& work);
 
--- a/bth/dispatch/placement_test.cpp
+++ b/bth/dispatch/placement_test.cpp
@@ -206,6 +206,16 @@
     CHECK(place(board, question, work).error().why == placement_failure::no_target);
 }
 
+// Hosts of three regions that each used the whole allowance would together exceed what it bears.
+TEST(placement, a_cold_target_of_another_region_gets_nothing)
+{
+    target_board board{regions};
+    auto cold = facts("d", "south-1");
+    cold.cold_left = 3s;
+    board.apply(start, {cold}, {}, true);
+    CHECK(place(board, make_question(1), work).error().why == placement_failure::no_target);
+}
+
 TEST(placement, ejected_targets_are_used_when_there_is_no_other)
 {
     target_board board{regions};
--- a/bth/dispatch/target.cpp
+++ b/bth/dispatch/target.cpp
@@ -61,10 +61,7 @@
 {
     if (load) {
         // The report counts the request that it came with while that was running.
-        const double total = load->running + load->waiting;
-        this->others_reported = std::max(0.0, total - static_cast<double>(this->own));
-        move_mean(this->others_mean, this->others_reported);
-        this->reported_at = now;
+        this->take_occupancy(now, load->running + load->waiting);
     }
     this->own -= std::min<std::uint32_t>(this->own, 1);
     switch (outcome) {
@@ -104,6 +101,14 @@
     this->ejected_until = now + length;
 }
 
+void target::take_occupancy(time_point now, std::uint32_t requests)
+{
+    this->others_reported =
+        std::max(0.0, static_cast<double>(requests) - static_cast<double>(this->own));
+    move_mean(this->others_mean, this->others_reported);
+    this->reported_at = now;
+}
+
 double target::occupancy(time_point now) const
 {
     const fractional_ms age = now - this->reported_at;
--- a/bth/dispatch/target.h
+++ b/bth/dispatch/target.h
@@ -69,6 +69,11 @@
     void end(time_point now, send_outcome outcome, fractional_ms took, fractional_ms expected,
              std::optional<load_report> load);
 
+    // Takes its owner's word on how many requests of all hosts are there now, this host's included.
+    void take_occupancy(time_point now, std::uint32_t requests);
+    // Leaves it alone for a while, since its owner does.
+    void eject(time_point until) { this->ejected_until = std::max(this->ejected_until, until); }
+
     // Requests that this host has at the target.
     std::uint32_t in_flight() const { return this->own; }
     // Requests that all hosts have at the target, as far as is known.
--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -500,7 +500,6 @@
 void control_host::send_updates(time_point now)
 {
     const auto hosts = this->registry.in_service(now);
-    const auto count = static_cast<std::uint32_t>(hosts.size());
     std::vector<std::string> names;
     for (const auto& [host, row] : this->served) {
         names.push_back(host);
@@ -508,21 +507,40 @@
     for (const auto& host : names) {
         // A send that fails closes the connection, which takes the row out of the table.
         const auto row = this->served.find(host);
-        if (row == this->served.end()) {
-            continue;
+        if (row != this->served.end()) {
+            this->send_update(host, row->second, now, hosts);
+        }
+    }
+}
+
+// The entry hosts in the region of one, without what changes from moment to moment.
+std::vector<entry_host> control_host::neighbours(const entry_host& of,
+                                                 const std::vector<entry_host>& all) const
+{
+    const auto region_of = [this](const entry_host& each) {
+        const auto found = this->settings.regions.find(each.domain);
+        return found == this->settings.regions.end() ? std::string{} : found->second;
+    };
+    const auto region = region_of(of);
+    std::vector<entry_host> out;
+    for (const auto& each : all) {
+        if (region_of(each) == region) {
+            out.push_back(each);
+            out.back().age = {};
         }
-        const auto before = std::count_if(hosts.begin(), hosts.end(),
-                                          [&host](const auto& each) { return each.name < host; });
-        this->send_update(host, row->second, now, count, static_cast<std::uint32_t>(before));
     }
+    return out;
 }
 
 void control_host::send_update(const std::string& host, served_host& to, time_point now,
-                               std::uint32_t count, std::uint32_t rank)
+                               const std::vector<entry_host>& all)
 {
     const auto& contents = this->agreed->state().contents();
     const bool contact = this->in_contact(now);
-    const bool news = contents.index > to.index || contents.version > to.version ||
+    auto near = this->neighbours(to.host, all);
+    const bool other_neighbours = near != to.told;
+    const bool news = other_neighbours || contents.index > to.index ||
+                      contents.version > to.version ||
                       (this->catalog.was_read() && to.targets != this->catalog.revision()) ||
                       contact != to.in_contact;
     if (!news && now - to.sent < update_interval) {
@@ -547,8 +565,13 @@
             out.control_hosts.push_back({control, domain});
         }
     }
-    out.entry_count = count;
-    out.entry_rank = rank;
+    out.entry_count = static_cast<std::uint32_t>(all.size());
+    out.entry_rank = static_cast<std::uint32_t>(std::count_if(
+        all.begin(), all.end(), [&host](const auto& each) { return each.name < host; }));
+    if (other_neighbours) {
+        out.entry_hosts = near;
+        to.told = std::move(near);
+    }
     const auto bytes = encode(out);
     to.sent = now;
     to.version = std::max(to.version, contents.version);
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -113,6 +113,8 @@
         catalog_revision targets;
         bool in_contact{};
         bool greeted{};
+        // The entry hosts of its region as it was told.
+        std::vector<entry_host> told;
     };
 
     control_host(boost::asio::io_context& context, control_host_settings settings,
@@ -137,8 +139,10 @@
     boost::asio::awaitable<void> read_list();
     void send_relays(time_point now, bool with_list);
     void send_updates(time_point now);
-    void send_update(const std::string& host, served_host& to, time_point now, std::uint32_t count,
-                     std::uint32_t rank);
+    void send_update(const std::string& host, served_host& to, time_point now,
+                     const std::vector<entry_host>& all);
+    std::vector<entry_host> neighbours(const entry_host& of,
+                                       const std::vector<entry_host>& all) const;
     bool in_contact(time_point now) const;
     std::vector<entry_host> served_rows(time_point now) const;
     std::uint32_t own_rank(const consensus::replica_status& now_is) const;
--- a/bth/fleet/entry_agent.cpp
+++ b/bth/fleet/entry_agent.cpp
@@ -31,9 +31,7 @@
     : context{&context}, settings{std::move(settings)}, name{to_string(this->settings.address)},
       events{&events}, on_update{std::move(on_update)},
       link{std::make_shared<shell::peer_link>(context.get_executor(),
-                                              shell::peer_link_settings{.name = this->name,
-                                                                        .life = fresh_life(),
-                                                                        .dials_at_once = true})},
+                                              shell::peer_link_settings{this->name, fresh_life()})},
       timer{context}
 {
     for (const auto& each : this->settings.seeds) {
@@ -43,22 +41,28 @@
     this->next_choice = this->settings.address.bits;
 }
 
-void entry_agent::start()
+tl::expected<void, std::string> entry_agent::start()
 {
+    auto listening = this->link->listen({this->settings.address, this->settings.peer_port});
+    if (!listening) {
+        return listening;
+    }
     this->link->on_frame(wire::frame_kind::membership,
                          [self = shared_from_this()](const auto& from, auto payload) {
                              return self->receive(from, payload);
                          });
     this->link->on_change([self = shared_from_this()](const auto& peer, bool connected) {
         self->events->write(
-            shell::event{connected ? "control_connected" : "control_lost"}.with("host", peer.name),
-            shell::event_weight::essential);
+            shell::event{connected ? "peer_connected" : "peer_lost"}.with("host", peer.name),
+            peer.name == self->serving ? shell::event_weight::essential
+                                       : shell::event_weight::notable);
         if (connected && peer.name == self->serving) {
             self->report_now();
         }
     });
     this->choose(shell::monotonic_now());
     this->tick();
+    return {};
 }
 
 void entry_agent::stop()
@@ -104,6 +108,10 @@
             this->known.begin(), this->known.end(),
             [this](const auto& a, const auto& b) { return this->distance(a) < this->distance(b); });
     }
+    if (next->entry_hosts) {
+        this->neighbours = *next->entry_hosts;
+        this->connect_peers();
+    }
     this->on_update(*next);
     return true;
 }
@@ -162,10 +170,23 @@
                         shell::event_weight::essential);
     this->serving = next.name;
     this->chosen = now;
-    const auto address = parse_ipv4_address(next.name);
-    if (address) {
-        this->link->set_peers({{next.name, {*address, this->settings.peer_port}}});
+    this->connect_peers();
+}
+
+// Stays connected with the chosen control host and the entry hosts of the region.
+void entry_agent::connect_peers()
+{
+    std::vector<shell::peer_address> addresses;
+    if (const auto address = parse_ipv4_address(this->serving)) {
+        addresses.push_back({this->serving, {*address, this->settings.peer_port}, true});
+    }
+    for (const auto& each : this->neighbours) {
+        const auto address = parse_ipv4_address(each.name);
+        if (address && each.name != this->name) {
+            addresses.push_back({each.name, {*address, this->settings.peer_port}});
+        }
     }
+    this->link->set_peers(addresses);
 }
 
 void entry_agent::report_now()
--- a/bth/fleet/entry_agent.h
+++ b/bth/fleet/entry_agent.h
@@ -18,6 +18,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <tl/expected.hpp>
 
 namespace bth::fleet {
 
@@ -38,9 +39,13 @@
     entry_agent(boost::asio::io_context& context, entry_agent_settings settings,
                 shell::event_log& events, update_handler on_update);
 
-    void start();
+    // An error is one sentence.
+    tl::expected<void, std::string> start();
     void stop();
 
+    // The link to the control host and to the entry hosts of the region.
+    const std::shared_ptr<shell::peer_link>& peers() const { return this->link; }
+
     // States from now on whether callers should be sent here.
     void set_ready(bool ready);
     // What this host holds already, so that it isn't sent again.
@@ -51,6 +56,7 @@
     void tick();
     void report_now();
     void choose(time_point now);
+    void connect_peers();
     // How far away a control host is: 0 in the own failure domain, 1 in the region, 2 elsewhere.
     int distance(const control_peer& host) const;
 
@@ -62,6 +68,7 @@
     std::shared_ptr<shell::peer_link> link;
     boost::asio::steady_timer timer;
     std::vector<control_peer> known;
+    std::vector<entry_host> neighbours;
     // The control host that this one is attached to, and when it was chosen and last heard.
     std::string serving;
     time_point chosen;
--- a/bth/fleet/internal/fleet_generated.h
+++ b/bth/fleet/internal/fleet_generated.h
@@ -732,6 +732,8 @@
   std::vector<std::unique_ptr<bth::fleet::frames::ControlHostT>> control_hosts{};
   uint32_t entry_count = 0;
   uint32_t entry_rank = 0;
+  bool has_entry_hosts = false;
+  std::vector<std::unique_ptr<bth::fleet::frames::EntryHostT>> entry_hosts{};
   UpdateT() = default;
   UpdateT(const UpdateT &o);
   UpdateT(UpdateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -755,7 +757,9 @@
     VT_REMOVED = 24,
     VT_CONTROL_HOSTS = 26,
     VT_ENTRY_COUNT = 28,
-    VT_ENTRY_RANK = 30
+    VT_ENTRY_RANK = 30,
+    VT_HAS_ENTRY_HOSTS = 32,
+    VT_ENTRY_HOSTS = 34
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -799,6 +803,12 @@
   uint32_t entry_rank() const {
     return GetField<uint32_t>(VT_ENTRY_RANK, 0);
   }
+  bool has_entry_hosts() const {
+    return GetField<uint8_t>(VT_HAS_ENTRY_HOSTS, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>> *entry_hosts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>> *>(VT_ENTRY_HOSTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -824,6 +834,10 @@
            verifier.VerifyVectorOfTables(control_hosts()) &&
            VerifyField<uint32_t>(verifier, VT_ENTRY_COUNT, 4) &&
            VerifyField<uint32_t>(verifier, VT_ENTRY_RANK, 4) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_ENTRY_HOSTS, 1) &&
+           VerifyOffset(verifier, VT_ENTRY_HOSTS) &&
+           verifier.VerifyVector(entry_hosts()) &&
+           verifier.VerifyVectorOfTables(entry_hosts()) &&
            verifier.EndTable();
   }
   UpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -877,6 +891,12 @@
   void add_entry_rank(uint32_t entry_rank) {
     fbb_.AddElement<uint32_t>(Update::VT_ENTRY_RANK, entry_rank, 0);
   }
+  void add_has_entry_hosts(bool has_entry_hosts) {
+    fbb_.AddElement<uint8_t>(Update::VT_HAS_ENTRY_HOSTS, static_cast<uint8_t>(has_entry_hosts), 0);
+  }
+  void add_entry_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>>> entry_hosts) {
+    fbb_.AddOffset(Update::VT_ENTRY_HOSTS, entry_hosts);
+  }
   explicit UpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -903,12 +923,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::ControlHost>>> control_hosts = 0,
     uint32_t entry_count = 0,
-    uint32_t entry_rank = 0) {
+    uint32_t entry_rank = 0,
+    bool has_entry_hosts = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>>> entry_hosts = 0) {
   UpdateBuilder builder_(_fbb);
   builder_.add_targets_revision(targets_revision);
   builder_.add_agreed_index(agreed_index);
   builder_.add_version(version);
   builder_.add_life(life);
+  builder_.add_entry_hosts(entry_hosts);
   builder_.add_entry_rank(entry_rank);
   builder_.add_entry_count(entry_count);
   builder_.add_control_hosts(control_hosts);
@@ -916,6 +939,7 @@
   builder_.add_targets(targets);
   builder_.add_evacuated(evacuated);
   builder_.add_text(text);
+  builder_.add_has_entry_hosts(has_entry_hosts);
   builder_.add_targets_whole(targets_whole);
   builder_.add_has_evacuated(has_evacuated);
   builder_.add_in_contact(in_contact);
@@ -937,12 +961,15 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr,
     const std::vector<flatbuffers::Offset<bth::fleet::frames::ControlHost>> *control_hosts = nullptr,
     uint32_t entry_count = 0,
-    uint32_t entry_rank = 0) {
+    uint32_t entry_rank = 0,
+    bool has_entry_hosts = false,
+    const std::vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>> *entry_hosts = nullptr) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto evacuated__ = evacuated ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*evacuated) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::Target>>(*targets) : 0;
   auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed) : 0;
   auto control_hosts__ = control_hosts ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::ControlHost>>(*control_hosts) : 0;
+  auto entry_hosts__ = entry_hosts ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::EntryHost>>(*entry_hosts) : 0;
   return bth::fleet::frames::CreateUpdate(
       _fbb,
       life,
@@ -958,7 +985,9 @@
       removed__,
       control_hosts__,
       entry_count,
-      entry_rank);
+      entry_rank,
+      has_entry_hosts,
+      entry_hosts__);
 }
 
 flatbuffers::Offset<Update> CreateUpdate(flatbuffers::FlatBufferBuilder &_fbb, const UpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1574,11 +1603,14 @@
         targets_revision(o.targets_revision),
         removed(o.removed),
         entry_count(o.entry_count),
-        entry_rank(o.entry_rank) {
+        entry_rank(o.entry_rank),
+        has_entry_hosts(o.has_entry_hosts) {
   targets.reserve(o.targets.size());
   for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new bth::fleet::frames::TargetT(*targets_) : nullptr); }
   control_hosts.reserve(o.control_hosts.size());
   for (const auto &control_hosts_ : o.control_hosts) { control_hosts.emplace_back((control_hosts_) ? new bth::fleet::frames::ControlHostT(*control_hosts_) : nullptr); }
+  entry_hosts.reserve(o.entry_hosts.size());
+  for (const auto &entry_hosts_ : o.entry_hosts) { entry_hosts.emplace_back((entry_hosts_) ? new bth::fleet::frames::EntryHostT(*entry_hosts_) : nullptr); }
 }
 
 inline UpdateT &UpdateT::operator=(UpdateT o) FLATBUFFERS_NOEXCEPT {
@@ -1596,6 +1628,8 @@
   std::swap(control_hosts, o.control_hosts);
   std::swap(entry_count, o.entry_count);
   std::swap(entry_rank, o.entry_rank);
+  std::swap(has_entry_hosts, o.has_entry_hosts);
+  std::swap(entry_hosts, o.entry_hosts);
   return *this;
 }
 
@@ -1622,6 +1656,8 @@
   { auto _e = control_hosts(); if (_e) { _o->control_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->control_hosts[_i] = std::unique_ptr<bth::fleet::frames::ControlHostT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = entry_count(); _o->entry_count = _e; }
   { auto _e = entry_rank(); _o->entry_rank = _e; }
+  { auto _e = has_entry_hosts(); _o->has_entry_hosts = _e; }
+  { auto _e = entry_hosts(); if (_e) { _o->entry_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entry_hosts[_i] = std::unique_ptr<bth::fleet::frames::EntryHostT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Update> Update::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1646,6 +1682,8 @@
   auto _control_hosts = _o->control_hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::ControlHost>> (_o->control_hosts.size(), [](size_t i, _VectorArgs *__va) { return CreateControlHost(*__va->__fbb, __va->__o->control_hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _entry_count = _o->entry_count;
   auto _entry_rank = _o->entry_rank;
+  auto _has_entry_hosts = _o->has_entry_hosts;
+  auto _entry_hosts = _o->entry_hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::EntryHost>> (_o->entry_hosts.size(), [](size_t i, _VectorArgs *__va) { return CreateEntryHost(*__va->__fbb, __va->__o->entry_hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return bth::fleet::frames::CreateUpdate(
       _fbb,
       _life,
@@ -1661,7 +1699,9 @@
       _removed,
       _control_hosts,
       _entry_count,
-      _entry_rank);
+      _entry_rank,
+      _has_entry_hosts,
+      _entry_hosts);
 }
 
 inline RelayT::RelayT(const RelayT &o)
--- a/bth/fleet/messages.cpp
+++ b/bth/fleet/messages.cpp
@@ -144,6 +144,10 @@
     out.control_hosts = pack_all<frames::ControlHostT>(from.control_hosts);
     out.entry_count = from.entry_count;
     out.entry_rank = from.entry_rank;
+    out.has_entry_hosts = from.entry_hosts.has_value();
+    if (from.entry_hosts) {
+        out.entry_hosts = pack_all<frames::EntryHostT>(*from.entry_hosts);
+    }
     return out;
 }
 
@@ -163,6 +167,9 @@
     out.control_hosts = unpack_all<control_peer>(from.control_hosts);
     out.entry_count = from.entry_count;
     out.entry_rank = from.entry_rank;
+    if (from.has_entry_hosts) {
+        out.entry_hosts = unpack_all<entry_host>(from.entry_hosts);
+    }
     return out;
 }
 
--- a/bth/fleet/messages.h
+++ b/bth/fleet/messages.h
@@ -80,6 +80,8 @@
     // The entry hosts in service, and the place of this one among them by name.
     std::uint32_t entry_count{};
     std::uint32_t entry_rank{};
+    // The entry hosts of the region of this one, unless it has been told.
+    std::optional<std::vector<entry_host>> entry_hosts;
 };
 
 // What one control host tells the others.
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -6,8 +6,13 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
+// g++ 12 takes the frames that Asio allocates for coroutines for wrongly freed when it inlines
+// them.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
 namespace bth::gateway {
 
 namespace {
@@ -33,6 +38,10 @@
 constexpr std::chrono::milliseconds most_retry_after{2000};
 // Part of the cold rate that is left unused, for requests that are late on their way.
 constexpr double cold_margin = 0.8;
+// Hosts that may hold themselves for a target's owner while they don't hear of each other.
+constexpr double most_owners = 2.5;
+// Owners that may decline a request before it is refused: each costs a trip to another host.
+constexpr std::uint32_t most_declines = 2;
 
 std::string_view view(boost::beast::string_view text)
 {
@@ -96,6 +105,13 @@
     return "unknown";
 }
 
+bool promises_not_run(unsigned status)
+{
+    const auto named = static_cast<http::status>(status);
+    return named == http::status::service_unavailable || named == http::status::too_many_requests ||
+           named == http::status::request_timeout || named == http::status::misdirected_request;
+}
+
 retry_reason retry_reason_of(const send_result& got)
 {
     if (got.outcome == send_outcome::not_reached) {
@@ -109,7 +125,7 @@
 gateway::gateway(boost::asio::io_context& context, gateway_settings settings, field_names names,
                  shell::event_log& events)
     : events{&events}, context{&context}, settings{std::move(settings)}, names{std::move(names)},
-      board{this->settings.regions}
+      board{this->settings.regions}, owners{this->settings.name, this->settings.domain}
 {
     this->region = std::string{this->board.region_of(this->settings.domain)};
 }
@@ -153,21 +169,41 @@
                                  this->events->left_out()});
 }
 
+void gateway::join(std::shared_ptr<shell::peer_link> link)
+{
+    const std::weak_ptr<gateway> weak = weak_from_this();
+    this->desk = std::make_shared<handoff_desk>(
+        *this->context, std::move(link), *this->events,
+        [weak](std::shared_ptr<const handoff_order> order, std::shared_ptr<send_control> control) {
+            return weak.lock()->serve_order(std::move(order), std::move(control));
+        });
+    this->desk->start();
+}
+
+const std::string& gateway::owner_of(const dispatch::target_facts& target) const
+{
+    return this->owners.owner_of(target, [this](const std::string& host) {
+        return this->desk && this->desk->is_usable(host);
+    });
+}
+
+// What this host may send to a cold target of its region as its owner.
 std::uint32_t gateway::cold_allowance(const std::string& service) const
 {
     const auto* known = this->table.find_service(service);
     const double rate = known == nullptr ? 0.0 : known->cold_rate;
     const auto& limits = this->settings.limits;
-    const auto part =
-        dispatch::cold_share((rate * limits.cold_factor + limits.cold_slack) * cold_margin,
-                             this->entry_hosts.hosts(), this->entry_hosts.rank());
-    const bool settled = this->entry_hosts.is_settled(shell::monotonic_now());
-    return settled ? part : std::min<std::uint32_t>(part, 1);
+    const double limit = (rate * limits.cold_factor + limits.cold_slack) * cold_margin;
+    if (this->entry_hosts.is_settled(shell::monotonic_now())) {
+        return static_cast<std::uint32_t>(limit / most_owners);
+    }
+    return std::min<std::uint32_t>(
+        dispatch::cold_share(limit, this->entry_hosts.hosts(), this->entry_hosts.rank()), 1);
 }
 
-dispatch::work_estimate& gateway::work_of(const passage& now_at)
+dispatch::work_estimate& gateway::work_of(const std::string& route, const std::string& service)
 {
-    return this->work[now_at.way->name + '/' + now_at.service];
+    return this->work[route + '/' + service];
 }
 
 // Callers that are refused together don't come back together.
@@ -261,7 +297,7 @@
     co_return made;
 }
 
-tl::expected<dispatch::placement, dispatch::unplaced> gateway::choose(const passage& now_at)
+dispatch::placement_question gateway::make_question(const passage& now_at) const
 {
     const auto now = shell::monotonic_now();
     dispatch::placement_question question;
@@ -279,8 +315,7 @@
     question.objective_left = now_at.objective_due - now;
     question.priority = now_at.way->priority;
     question.cold_allowance = this->cold_allowance(now_at.service);
-    return dispatch::place(this->board, question,
-                           this->work[now_at.way->name + '/' + now_at.service]);
+    return question;
 }
 
 std::string gateway::request_bytes(const passage& now_at, const dispatch::placement& where,
@@ -319,47 +354,124 @@
     return out + "\r\n" + head.body();
 }
 
-boost::asio::awaitable<send_result> gateway::send(passage& now_at, const dispatch::placement& where)
+boost::asio::awaitable<std::optional<send_result>> gateway::send(passage& now_at,
+                                                                 const dispatch::placement& where)
 {
-    const auto begun = shell::monotonic_now();
     const auto target = where.where;
-    const bool once = now_at.way->repeat == repeatability::at_most_once;
-    ++now_at.sends;
+    sending what{where,
+                 now_at.way->name,
+                 now_at.service,
+                 now_at.id,
+                 now_at.key,
+                 this->request_bytes(now_at, where, shell::monotonic_now()),
+                 now_at.request->head.method() == http::verb::head,
+                 now_at.way->repeat == repeatability::at_most_once};
     now_at.tried.push_back(target);
-    target->begin(begun, now_at.key);
-    send_order order{target->facts().id,
-                     target->facts().where,
-                     now_at.id,
-                     this->request_bytes(now_at, where, begun),
-                     now_at.request->head.method() == http::verb::head,
-                     once ? duration{most_idle_once} : duration{most_idle_repeatable},
-                     &this->names};
-    auto got = co_await send_to(this->pool, now_at.request->control, std::move(order));
+    const bool near = this->board.region_of(target->facts().domain) == this->region;
+    const std::string owner = near ? this->owner_of(target->facts()) : this->settings.name;
+    if (owner != this->settings.name) {
+        co_return co_await this->hand_over(now_at, owner, std::move(what));
+    }
+    ++now_at.sends;
+    auto got = co_await this->send_directly(now_at.request->control, std::move(what));
+    now_at.may_have_run = now_at.may_have_run || got.may_have_run;
+    co_return got;
+}
+
+boost::asio::awaitable<std::optional<send_result>>
+gateway::hand_over(passage& now_at, const std::string& owner, sending what)
+{
+    const auto begun = shell::monotonic_now();
+    const auto target = what.where.where;
+    handoff_order order{0,
+                        target->facts().id,
+                        what.route,
+                        what.service,
+                        what.request_id,
+                        what.object,
+                        std::move(what.bytes),
+                        what.to_head,
+                        what.once,
+                        now_at.due - begun,
+                        now_at.objective_due - begun,
+                        now_at.way->priority};
+    target->begin(begun, what.object);
+    auto done = co_await this->desk->hand(owner, std::move(order), now_at.request->control);
+    const auto now = shell::monotonic_now();
+    const bool sent = done && done->declined == decline::none;
+    const auto outcome = sent ? done->result.outcome : send_outcome::abandoned;
+    // The owner judges how fast the target is; this host only keeps what concerns the choice.
+    target->end(now, outcome, {}, {}, std::nullopt);
+    if (done) {
+        target->take_occupancy(now, done->at_target + target->in_flight());
+    }
+    if (!sent) {
+        ++now_at.declined;
+        now_at.declined_wait = done ? done->wait : fractional_ms{};
+        if (done && done->declined == decline::unfit) {
+            constexpr std::chrono::milliseconds left_alone{300};
+            target->eject(now + left_alone);
+        }
+        this->events->write(shell::event{"declined"}
+                                .with("request", now_at.id)
+                                .with("target", target->facts().id)
+                                .with("owner", owner)
+                                .with("reason", !done                             ? "unreachable"
+                                                : done->declined == decline::full ? "full"
+                                                                                  : "unfit")
+                                .with("at_target", done ? done->at_target : 0));
+        co_return std::nullopt;
+    }
+    ++now_at.sends;
+    now_at.may_have_run = now_at.may_have_run || done->result.may_have_run;
+    what.where.known = done->known;
+    what.where.wait = done->wait;
+    this->learn(what, done->result, done->took);
+    co_return std::move(done->result);
+}
+
+// Takes what an answer tells about the work of its route.
+void gateway::learn(const sending& what, const send_result& got, fractional_ms took)
+{
+    // The target's own way of working shows when nothing else waited there. Requests that name no
+    // object on a route of objects are probes; they tell nothing.
+    const bool alone = what.where.wait == fractional_ms{};
+    if (got.outcome == send_outcome::answered && alone && what.object != 0) {
+        this->work_of(what.route, what.service).learn(what.where, took);
+    }
+}
+
+boost::asio::awaitable<send_result> gateway::send_directly(std::shared_ptr<send_control> control,
+                                                           sending what)
+{
+    const auto begun = shell::monotonic_now();
+    const auto target = what.where.where;
+    target->begin(begun, what.object);
+    send_order order{
+        target->facts().id, target->facts().where,
+        what.request_id,    std::move(what.bytes),
+        what.to_head,       what.once ? duration{most_idle_once} : duration{most_idle_repeatable},
+        &this->names};
+    auto got = co_await send_to(this->pool, std::move(control), std::move(order));
     const auto now = shell::monotonic_now();
     const fractional_ms took = now - begun;
-    // The target's own way of working shows when nothing else waited there.
-    const bool alone = where.wait == fractional_ms{};
-    const bool comparable = alone && (where.known || !where.warm) && now_at.key != 0;
+    const auto& where = what.where;
+    const bool comparable =
+        where.wait == fractional_ms{} && (where.known || !where.warm) && what.object != 0;
     target->end(now, got.outcome, took, comparable ? where.total() : fractional_ms{}, got.load);
-    // Requests that name no object on a route of objects are probes; they tell nothing.
-    const bool usual_request = !now_at.way->sticky || now_at.key != 0;
-    if (got.outcome == send_outcome::answered && alone && usual_request) {
-        this->work_of(now_at).learn(where, took - where.way);
-    }
+    this->learn(what, got, took - where.way);
     if (got.outcome == send_outcome::not_reached) {
         // When it can be reached again it may have been started anew.
-        const auto* known = this->table.find_service(now_at.service);
+        const auto* known = this->table.find_service(what.service);
         target->assume_cold(now + (known == nullptr ? duration{} : known->cold_time));
     }
-    now_at.may_have_run = now_at.may_have_run || got.may_have_run;
-    const bool usual = got.outcome == send_outcome::answered;
-    if (!usual || this->events->takes_usual()) {
+    if (got.outcome != send_outcome::answered || this->events->takes_usual()) {
         this->events->write(
             shell::event{"sent"}
-                .with("request", now_at.id)
-                .with("service", now_at.service)
+                .with("request", what.request_id)
+                .with("service", what.service)
                 .with("target", target->facts().id)
-                .with("object", view(now_at.request->head[this->names.object]))
+                .with("object", what.object)
                 .with("warm", where.warm)
                 .with("expected_ms", std::chrono::duration_cast<duration>(where.total()))
                 .with("wait_ms", std::chrono::duration_cast<duration>(where.wait))
@@ -370,6 +482,73 @@
     co_return got;
 }
 
+// Whether an order is worth sending, as this host knows its target; `out` tells why not.
+std::optional<dispatch::placement> gateway::judge_order(const handoff_order& order,
+                                                        handoff_outcome& out)
+{
+    const auto now = shell::monotonic_now();
+    out.declined = decline::unfit;
+    const auto target = this->board.find(order.target);
+    if (!target || this->stopping) {
+        return std::nullopt;
+    }
+    dispatch::placement_question question;
+    question.now = now;
+    question.service = order.service;
+    question.key = order.object;
+    question.sticky = order.object != 0;
+    question.domain = this->settings.domain;
+    question.region = this->region;
+    question.time_left = order.time_left;
+    question.objective_left = order.objective_left;
+    question.priority = order.priority;
+    question.cold_allowance = this->cold_allowance(order.service);
+    const auto found = dispatch::place_at(this->board, question, target,
+                                          this->work_of(order.route, order.service));
+    out.at_target = static_cast<std::uint32_t>(std::lround(target->occupancy(now)));
+    if (!found) {
+        out.wait = found.error().come_back;
+        const bool no_use = found.error().why == dispatch::placement_failure::no_target;
+        out.declined = no_use ? decline::unfit : decline::full;
+        return std::nullopt;
+    }
+    out.declined = decline::none;
+    out.known = found->known;
+    out.wait = found->wait;
+    return *found;
+}
+
+boost::asio::awaitable<handoff_outcome>
+gateway::serve_order(std::shared_ptr<const handoff_order> order,
+                     std::shared_ptr<send_control> control)
+{
+    const auto self = shared_from_this();
+    const auto begun = shell::monotonic_now();
+    handoff_outcome out;
+    const auto found = this->judge_order(*order, out);
+    if (!found) {
+        co_return out;
+    }
+    boost::asio::steady_timer timer{*this->context};
+    timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+        order->time_left + late_answer_wait));
+    timer.async_wait([control](const boost::system::error_code& error) {
+        if (!error) {
+            control->out_of_time = true;
+            control->abort();
+        }
+    });
+    ++this->in_flight;
+    sending what{*found,        order->route, order->service, order->request_id,
+                 order->object, order->bytes, order->to_head, order->once};
+    out.result = co_await this->send_directly(control, std::move(what));
+    --this->in_flight;
+    const auto now = shell::monotonic_now();
+    out.took = now - begun;
+    out.at_target = static_cast<std::uint32_t>(std::lround(found->where->occupancy(now)));
+    co_return out;
+}
+
 // Whether a request that a target didn't answer goes to another one.
 bool gateway::may_send_again(passage& now_at, const send_result& got)
 {
@@ -421,7 +600,7 @@
         return this->refuse(now_at, refusal_reason::deadline, {});
     }
     const auto come_back =
-        this->spread(this->work[now_at.way->name + '/' + now_at.service].warm, now_at.due);
+        this->spread(this->work_of(now_at.way->name, now_at.service).warm, now_at.due);
     const bool shed = got.outcome == send_outcome::shed;
     return this->refuse(now_at, shed ? refusal_reason::queue_full : refusal_reason::target_failed,
                         come_back);
@@ -444,17 +623,21 @@
             none.outcome = control->caller_gone ? send_outcome::abandoned : send_outcome::timed_out;
             co_return this->finish(now_at, this->end_failed(now_at, none), "given_up");
         }
-        const auto where = this->choose(now_at);
-        if (!where) {
-            const auto& failed = where.error();
-            const bool has_room_later = failed.why != dispatch::placement_failure::too_late ||
-                                        failed.come_back > fractional_ms{};
-            const auto come_back =
-                has_room_later ? this->spread(failed.come_back, now_at.due) : duration{};
+        const auto where = dispatch::place(this->board, this->make_question(now_at),
+                                           this->work_of(now_at.way->name, now_at.service));
+        if (!where || now_at.declined > most_declines) {
+            const auto failed = where ? dispatch::unplaced{dispatch::placement_failure::overload,
+                                                           now_at.declined_wait}
+                                      : where.error();
+            const auto come_back = this->spread(failed.come_back, now_at.due);
             co_return this->finish(now_at, this->refuse(now_at, reason_of(failed.why), come_back),
                                    "refusal");
         }
-        auto got = co_await this->send(now_at, *where);
+        auto sent = co_await this->send(now_at, *where);
+        if (!sent) {
+            continue;
+        }
+        auto got = std::move(*sent);
         const bool failed = got.outcome == send_outcome::failed;
         if (got.outcome != send_outcome::answered && this->may_send_again(now_at, got)) {
             continue;
@@ -462,12 +645,8 @@
         if (got.got && (got.outcome == send_outcome::answered || failed)) {
             // These statuses promise that a request has not run; a target that doesn't say so by
             // its own field may have run it.
-            const bool promises = got.got->result() == http::status::service_unavailable ||
-                                  got.got->result() == http::status::too_many_requests ||
-                                  got.got->result() == http::status::request_timeout;
-            if (!promises) {
-                const bool to_head = now_at.request->head.method() == http::verb::head;
-                co_return this->finish(now_at, pass_on(std::move(*got.got), to_head), "target");
+            if (!promises_not_run(got.got->status)) {
+                co_return this->finish(now_at, std::move(*got.got), "target");
             }
         }
         co_return this->finish(now_at, this->end_failed(now_at, got), "failure");
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -8,11 +8,13 @@
 
 #include "bth/dispatch/board.h"
 #include "bth/dispatch/host_count.h"
+#include "bth/dispatch/ownership.h"
 #include "bth/dispatch/placement.h"
 #include "bth/dispatch/retry_window.h"
 #include "bth/fleet/messages.h"
 #include "bth/gateway/answer.h"
 #include "bth/gateway/fields.h"
+#include "bth/gateway/handoff_desk.h"
 #include "bth/gateway/metrics.h"
 #include "bth/gateway/split.h"
 #include "bth/gateway/target_pool.h"
@@ -45,6 +47,8 @@
 };
 
 struct gateway_settings {
+    // The name under which the other entry hosts know this one.
+    std::string name;
     std::string domain;
     dispatch::domain_regions regions;
     fleet_limits limits;
@@ -68,6 +72,11 @@
 
     boost::asio::awaitable<answer> serve(std::shared_ptr<served_request> request);
 
+    // Takes part in handing requests to the owners of their targets, over `link`.
+    void join(std::shared_ptr<shell::peer_link> link);
+    // Requests that are under way here for callers of other hosts.
+    std::size_t taken() const { return this->desk ? this->desk->taken() : 0; }
+
     bool is_configured() const { return this->version != route::config_version{}; }
     route::config_version held_version() const { return this->version; }
     fleet::agreed_index held_index() const { return this->index; }
@@ -94,23 +103,49 @@
         time_point objective_due;
         dispatch::object_key key{};
         std::uint32_t sends{};
+        // Owners that would not take it.
+        std::uint32_t declined{};
+        dispatch::fractional_ms declined_wait{};
         std::vector<dispatch::target_ptr> tried;
         bool may_have_run{};
     };
-    enum class next_step : std::uint8_t { send_again, end };
+    // What one send needs to know of its request.
+    struct sending {
+        dispatch::placement where;
+        std::string route;
+        std::string service;
+        std::string request_id;
+        dispatch::object_key object{};
+        std::string bytes;
+        bool to_head{};
+        bool once{};
+    };
 
     boost::asio::awaitable<answer> pass(passage now_at);
     std::optional<answer> refuse_early(const served_request& request, const std::string& id);
-    tl::expected<dispatch::placement, dispatch::unplaced> choose(const passage& now_at);
+    dispatch::placement_question make_question(const passage& now_at) const;
     std::string request_bytes(const passage& now_at, const dispatch::placement& where,
                               time_point now) const;
-    boost::asio::awaitable<send_result> send(passage& now_at, const dispatch::placement& where);
+    // Sends by way of the target's owner, or directly. Nothing if the owner declined.
+    boost::asio::awaitable<std::optional<send_result>> send(passage& now_at,
+                                                            const dispatch::placement& where);
+    boost::asio::awaitable<std::optional<send_result>>
+    hand_over(passage& now_at, const std::string& owner, sending what);
+    boost::asio::awaitable<send_result> send_directly(std::shared_ptr<send_control> control,
+                                                      sending what);
+    std::optional<dispatch::placement> judge_order(const handoff_order& order,
+                                                   handoff_outcome& out);
+    // Serves a request that another host handed to this one.
+    boost::asio::awaitable<handoff_outcome> serve_order(std::shared_ptr<const handoff_order> order,
+                                                        std::shared_ptr<send_control> control);
+    const std::string& owner_of(const dispatch::target_facts& target) const;
+    void learn(const sending& what, const send_result& got, dispatch::fractional_ms took);
     bool may_send_again(passage& now_at, const send_result& got);
     answer refuse(const passage& now_at, refusal_reason reason, duration come_back);
     answer finish(const passage& now_at, answer made, std::string_view ended_by);
     answer end_failed(const passage& now_at, const send_result& got);
     std::uint32_t cold_allowance(const std::string& service) const;
-    dispatch::work_estimate& work_of(const passage& now_at);
+    dispatch::work_estimate& work_of(const std::string& route, const std::string& service);
     duration spread(dispatch::fractional_ms base, time_point due);
 
     boost::asio::io_context* context;
@@ -126,6 +161,8 @@
     std::map<std::string, dispatch::work_estimate> work;
     std::map<std::string, dispatch::retry_window> retries;
     dispatch::host_count entry_hosts;
+    dispatch::target_owners owners;
+    std::shared_ptr<handoff_desk> desk;
     std::size_t in_flight{};
     std::mt19937 random{std::random_device{}()};
 };
--- /dev/null
+++ b/bth/gateway/handoff.cpp
@@ -0,0 +1,163 @@
+#include "bth/gateway/handoff.h"
+
+#include "bth/gateway/internal/handoff_generated.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace bth::gateway {
+
+namespace {
+
+using dispatch::fractional_ms;
+
+std::uint32_t whole_ms(fractional_ms time)
+{
+    return static_cast<std::uint32_t>(std::clamp(time.count(), 0.0, 1e9));
+}
+
+std::vector<std::uint8_t> to_bytes(const std::string& text)
+{
+    return {text.begin(), text.end()};
+}
+
+std::string to_text(const std::vector<std::uint8_t>& bytes)
+{
+    return {bytes.begin(), bytes.end()};
+}
+
+frames::OrderT pack(const handoff_order& from)
+{
+    frames::OrderT out;
+    out.id = from.id;
+    out.target = from.target;
+    out.route = from.route;
+    out.service = from.service;
+    out.request_id = from.request_id;
+    out.object = from.object;
+    out.bytes = to_bytes(from.bytes);
+    out.to_head = from.to_head;
+    out.once = from.once;
+    out.time_left_ms = whole_ms(from.time_left);
+    out.objective_left_ms = whole_ms(from.objective_left);
+    out.priority = from.priority;
+    return out;
+}
+
+handoff_order unpack(const frames::OrderT& from)
+{
+    handoff_order out;
+    out.id = from.id;
+    out.target = from.target;
+    out.route = from.route;
+    out.service = from.service;
+    out.request_id = from.request_id;
+    out.object = from.object;
+    out.bytes = to_text(from.bytes);
+    out.to_head = from.to_head;
+    out.once = from.once;
+    out.time_left = std::chrono::milliseconds{from.time_left_ms};
+    out.objective_left = std::chrono::milliseconds{from.objective_left_ms};
+    out.priority = from.priority;
+    return out;
+}
+
+frames::OutcomeT pack(const handoff_outcome& from)
+{
+    frames::OutcomeT out;
+    out.id = from.id;
+    out.outcome = static_cast<std::uint8_t>(from.result.outcome);
+    out.declined = static_cast<std::uint8_t>(from.declined);
+    out.may_have_run = from.result.may_have_run;
+    out.arrived = from.result.arrived;
+    out.known = from.known;
+    out.took_ms = static_cast<float>(from.took.count());
+    out.wait_ms = static_cast<float>(from.wait.count());
+    out.at_target = from.at_target;
+    if (from.result.got) {
+        const auto& got = *from.result.got;
+        out.has_answer = true;
+        out.status = static_cast<std::uint16_t>(got.status);
+        out.fields = got.fields;
+        out.bodyless_length = got.bodyless_length;
+        out.body = to_bytes(got.body);
+    }
+    return out;
+}
+
+std::optional<handoff_message> unpack(const frames::OutcomeT& from)
+{
+    const bool known_values =
+        from.outcome <= static_cast<std::uint8_t>(dispatch::send_outcome::abandoned) &&
+        from.declined <= static_cast<std::uint8_t>(decline::full);
+    if (!known_values) {
+        return std::nullopt;
+    }
+    handoff_outcome out;
+    out.id = from.id;
+    out.declined = static_cast<decline>(from.declined);
+    out.result.outcome = static_cast<dispatch::send_outcome>(from.outcome);
+    out.result.may_have_run = from.may_have_run;
+    out.result.arrived = from.arrived;
+    out.known = from.known;
+    out.took = fractional_ms{from.took_ms};
+    out.wait = fractional_ms{from.wait_ms};
+    out.at_target = from.at_target;
+    if (from.has_answer) {
+        out.result.got =
+            answer{from.status, from.fields, to_text(from.body), from.bodyless_length, false};
+    }
+    return out;
+}
+
+frames::CancelT pack(const handoff_cancel& from)
+{
+    frames::CancelT out;
+    out.id = from.id;
+    return out;
+}
+
+frames::PingT pack(const handoff_ping& from)
+{
+    frames::PingT out;
+    out.reply = from.reply;
+    return out;
+}
+
+} // namespace
+
+std::string encode_handoff(const handoff_message& what)
+{
+    frames::FrameT frame;
+    std::visit([&](const auto& each) { frame.body.Set(pack(each)); }, what);
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(frames::Frame::Pack(builder, &frame));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+std::optional<handoff_message> decode_handoff(std::string_view bytes)
+{
+    const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+    flatbuffers::Verifier verifier{data, bytes.size()};
+    if (!frames::VerifyFrameBuffer(verifier)) {
+        return std::nullopt;
+    }
+    const std::unique_ptr<frames::FrameT> frame{frames::GetFrame(data)->UnPack()};
+    if (const auto* order = frame->body.AsOrder()) {
+        return unpack(*order);
+    }
+    if (const auto* outcome = frame->body.AsOutcome()) {
+        return unpack(*outcome);
+    }
+    if (const auto* cancel = frame->body.AsCancel()) {
+        return handoff_cancel{cancel->id};
+    }
+    if (const auto* ping = frame->body.AsPing()) {
+        return handoff_ping{ping->reply};
+    }
+    return std::nullopt;
+}
+
+} // namespace bth::gateway
--- a/bth/gateway/path_test.cpp
+++ /dev/null
@@ -1,3 +0,0 @@
-#include "bth/gateway/gateway.h"
-
-#include <CppUTest/TestHarness.h>
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -79,7 +79,7 @@
 {
     asio::steady_timer limit{co_await asio::this_coro::executor, connect_limit};
     limit.async_wait([control](const boost::system::error_code& error) {
-        if (!error && control->socket != nullptr) {
+        if (!error) {
             control->abort();
         }
     });
@@ -131,24 +131,7 @@
         return out;
     }
     out.outcome = got.result_int() / 100 == 5 ? send_outcome::failed : send_outcome::answered;
-    out.got = std::move(got);
-    return out;
-}
-
-send_result given_up(const send_control& control, bool sent)
-{
-    send_result out;
-    out.may_have_run = sent;
-    out.arrived = sent;
-    if (control.caller_gone) {
-        out.outcome = send_outcome::abandoned;
-    }
-    else if (control.out_of_time) {
-        out.outcome = send_outcome::timed_out;
-    }
-    else {
-        out.outcome = sent ? send_outcome::broken : send_outcome::not_reached;
-    }
+    out.got = pass_on(std::move(got), order.to_head);
     return out;
 }
 
@@ -181,36 +164,58 @@
 
 void send_control::abort()
 {
-    if (this->socket != nullptr) {
-        boost::system::error_code ignored;
-        this->socket->close(ignored);
+    if (this->close) {
+        this->close();
     }
 }
 
+send_result given_up(const send_control& control, bool sent)
+{
+    send_result out;
+    out.may_have_run = sent;
+    out.arrived = sent;
+    if (control.caller_gone) {
+        out.outcome = send_outcome::abandoned;
+    }
+    else if (control.out_of_time) {
+        out.outcome = send_outcome::timed_out;
+    }
+    else {
+        out.outcome = sent ? send_outcome::broken : send_outcome::not_reached;
+    }
+    return out;
+}
+
 asio::awaitable<send_result> send_to(target_pool& pool, std::shared_ptr<send_control> control,
                                      send_order order)
 {
+    const auto close_by = [&control](target_connection& each) {
+        control->close = [socket = &each.socket] {
+            boost::system::error_code ignored;
+            socket->close(ignored);
+        };
+    };
     auto held = pool.take(order.target, shell::monotonic_now(), order.most_idle);
     if (!held) {
         held = std::make_unique<target_connection>(co_await asio::this_coro::executor);
-        control->socket = &held->socket;
+        close_by(*held);
         const bool connected = co_await connect(*held, control, order.where);
-        control->socket = nullptr;
+        control->close = nullptr;
         if (!connected || control->aborted()) {
             co_return given_up(*control, false);
         }
     }
-    control->socket = &held->socket;
+    close_by(*held);
     boost::system::error_code error;
     co_await asio::async_write(held->socket, asio::buffer(order.bytes),
                                asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        control->socket = nullptr;
+        control->close = nullptr;
         co_return given_up(*control, true);
     }
     bool reusable = true;
     auto got = co_await read_answer(*held, order, reusable);
-    control->socket = nullptr;
+    control->close = nullptr;
     if (!got) {
         co_return given_up(*control, true);
     }
--- a/bth/gateway/target_send.h
+++ b/bth/gateway/target_send.h
@@ -12,6 +12,7 @@
 #include "bth/gateway/fields.h"
 #include "bth/gateway/target_pool.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,7 +23,8 @@
 
 // Lets a send in progress be given up.
 struct send_control {
-    boost::asio::ip::tcp::socket* socket{};
+    // Ends the send; empty while none is in progress.
+    std::function<void()> close;
     bool caller_gone{};
     bool out_of_time{};
 
@@ -48,10 +50,14 @@
     bool may_have_run{};
     // Whether the target read the request and refused it, which it counts as an arrival.
     bool arrived{};
-    std::optional<target_answer> got;
+    std::optional<answer> got;
     std::optional<dispatch::load_report> load;
 };
 
+// The result of a send that was given up; `sent` if a byte of the request may have reached the
+// target.
+send_result given_up(const send_control& control, bool sent);
+
 boost::asio::awaitable<send_result>
 send_to(target_pool& pool, std::shared_ptr<send_control> control, send_order order);
 
--- a/bth/shell/internal/peer_connection.cpp
+++ b/bth/shell/internal/peer_connection.cpp
@@ -20,7 +20,8 @@
 namespace asio = boost::asio;
 
 constexpr std::chrono::seconds hello_limit{5};
-constexpr std::size_t read_buffer_bytes = std::size_t{64} * 1024;
+// Hosts hold dozens of connections; frames are mostly far smaller.
+constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
 constexpr std::size_t write_batch_bytes = std::size_t{256} * 1024;
 constexpr int probe_idle_s = 2;
 constexpr int probe_interval_s = 1;
--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -42,6 +42,7 @@
     std::string name;
     // Where to connect; a row without it only takes what the peer itself connects.
     std::optional<endpoint> where;
+    bool at_once{};
     std::shared_ptr<peer_connection> live;
     asio::steady_timer wake;
     std::chrono::milliseconds back_off{least_back_off};
@@ -123,7 +124,7 @@
 asio::awaitable<void> peer_link::state::keep_connected(std::shared_ptr<peer_row> row)
 {
     row->dialling = true;
-    std::chrono::milliseconds wait = this->settings.dials_at_once || this->connects_first(row->name)
+    std::chrono::milliseconds wait = row->at_once || this->connects_first(row->name)
                                          ? std::chrono::milliseconds{0}
                                          : larger_name_delay;
     while (!this->stopped && row->where) {
@@ -305,7 +306,9 @@
     }
     for (const peer_address& each : peers) {
         if (each.name != this->self->settings.name) {
-            this->self->row_of(each.name)->where = each.where;
+            const auto row = this->self->row_of(each.name);
+            row->where = each.where;
+            row->at_once = each.at_once;
         }
     }
     const auto rows = this->self->rows;
--- a/bth/shell/peer_link.h
+++ b/bth/shell/peer_link.h
@@ -40,6 +40,8 @@
 struct peer_address {
     std::string name;
     endpoint where;
+    // Dial it at once, whatever its name: it doesn't know this process and won't dial.
+    bool at_once{};
 };
 
 struct peer_link_settings {
@@ -48,8 +50,6 @@
     incarnation life;
     // The most bytes that wait to be written to one peer.
     std::size_t queue_bytes{std::size_t{32} * 1024 * 1024};
-    // Dials every peer at once, whatever its name. For a process whose peers don't know it.
-    bool dials_at_once{};
 };
 
 // Takes one payload, valid during the call only. False if it is malformed: the connection is
