--- a/bth/fleet/entry_agent.h
+++ b/bth/fleet/entry_agent.h
@@ -60,7 +60,6 @@
     // How far away a control host is: 0 in the own failure domain, 1 in the region, 2 elsewhere.
     int distance(const control_peer& host) const;
 
-    boost::asio::io_context* context;
     entry_agent_settings settings;
     std::string name;
     shell::event_log* events;
--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -27,7 +27,7 @@
 constexpr std::chrono::seconds watch_interval{3};
 // Limits before a configuration says otherwise.
 constexpr std::uint32_t usual_header_bytes = 16384;
-constexpr std::uint64_t usual_body_bytes = 1024 * 1024;
+constexpr std::uint64_t usual_body_bytes = 1024ULL * 1024;
 constexpr std::chrono::seconds usual_header_timeout{5};
 constexpr std::chrono::seconds usual_idle_timeout{15};
 // After the last answer the caller is given so long to close first, so that it gets all bytes.
