Take the list of neighbours, so that owners take part; elect faster

Cause: requests never reached their owners, since the gateway passed over the list of entry hosts of its region.

--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -36,6 +36,21 @@
     return incarnation{static_cast<std::uint64_t>(us)};
 }
 
+// A leader that is lost is replaced within a second, so that targets that leave are known and
+// changes are acknowledged in time. Messages between regions take 20 ms, a sync 1 ms; a heartbeat
+// more often than this would cost more bytes between regions than all other control traffic.
+consensus::replica_options agreement_times()
+{
+    consensus::replica_options out;
+    out.heartbeat = std::chrono::milliseconds{200};
+    out.vote_silence = std::chrono::milliseconds{500};
+    out.election_least = std::chrono::milliseconds{600};
+    out.election_spread = std::chrono::milliseconds{250};
+    out.retry_least = std::chrono::milliseconds{100};
+    out.retry_spread = std::chrono::milliseconds{200};
+    return out;
+}
+
 group_settings group_settings_of(const control_host_settings& settings, const std::string& name,
                                  incarnation life)
 {
@@ -43,6 +58,7 @@
     out.data_folder = settings.data_folder;
     out.member.host = name;
     out.member.fresh_life = life;
+    out.member.replica = agreement_times();
     out.member.seed = life.value() ^ settings.address.bits;
     bool is_seed = false;
     for (const auto& each : settings.seeds) {
--- a/bth/fleet/entry_agent.cpp
+++ b/bth/fleet/entry_agent.cpp
@@ -28,10 +28,10 @@
 
 entry_agent::entry_agent(boost::asio::io_context& context, entry_agent_settings settings,
                          shell::event_log& events, update_handler on_update)
-    : settings{std::move(settings)}, name{to_string(this->settings.address)},
-      events{&events}, on_update{std::move(on_update)},
-      link{std::make_shared<shell::peer_link>(context.get_executor(),
-                                              shell::peer_link_settings{this->name, fresh_life()})},
+    : settings{std::move(settings)}, name{to_string(this->settings.address)}, events{&events},
+      on_update{std::move(on_update)}, link{std::make_shared<shell::peer_link>(
+                                           context.get_executor(),
+                                           shell::peer_link_settings{this->name, fresh_life()})},
       // Hosts that start together don't all begin with the same seed.
       timer{context}, next_choice{this->settings.address.bits}
 {
--- a/bth/fleet/group_driver.h
+++ b/bth/fleet/group_driver.h
@@ -62,10 +62,11 @@
 
     // Takes the consensus frames of the link, whose peers the caller sets. `on_progress` is called
     // after each step, which may have changed the state or the leader.
-    void start(std::shared_ptr<shell::peer_link> peer_link, std::function<void()> on_progress)
+    void start(const std::shared_ptr<shell::peer_link>& peer_link,
+               const std::function<void()>& on_progress)
     {
-        this->link = std::move(peer_link);
-        this->progress = std::move(on_progress);
+        this->link = peer_link;
+        this->progress = on_progress;
         this->link->on_frame(wire::frame_kind::consensus,
                              [self = this->shared_from_this()](const auto& from, auto payload) {
                                  return self->receive(from, payload);
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -134,6 +134,16 @@
 {
     const auto now = shell::monotonic_now();
     this->entry_hosts.take(now, news.entry_count, news.entry_rank);
+    if (news.entry_hosts) {
+        std::vector<dispatch::owner_candidate> hosts;
+        for (const auto& each : *news.entry_hosts) {
+            if (each.ready) {
+                hosts.push_back({each.name, each.domain});
+            }
+        }
+        this->owners.set_hosts(std::move(hosts));
+        this->events->write(shell::event{"neighbours"}.with("ready", this->owners.host_count()));
+    }
     const bool has_targets =
         news.targets.whole || !news.targets.changed.empty() || !news.targets.removed.empty();
     if (has_targets) {
