--- /dev/null
+++ b/bth/fleet/compression_test.cpp
@@ -0,0 +1,47 @@
+#include "bth/fleet/compression.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using bth::fleet::deflate;
+using bth::fleet::inflate;
+
+constexpr std::size_t limit = 1 << 20;
+
+std::string repetitive(std::size_t rows)
+{
+    std::string text;
+    for (std::size_t row = 0; row < rows; ++row) {
+        text += R"({"host":"shop.example","pathPrefix":"/)" + std::to_string(row) + "/\"}";
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_GROUP(compression){};
+
+TEST(compression, bytes_come_back_as_they_were)
+{
+    for (const auto& text : {std::string{}, std::string{"a"}, repetitive(10), repetitive(5000)}) {
+        CHECK(inflate(deflate(text), limit) == text);
+    }
+}
+
+TEST(compression, what_repeats_itself_shrinks_to_a_fifth_or_less)
+{
+    const auto text = repetitive(300);
+    CHECK(deflate(text).size() * 5 < text.size());
+}
+
+TEST(compression, damage_and_excess_are_refused)
+{
+    const auto bytes = deflate(repetitive(5000));
+    CHECK_FALSE(inflate(bytes, 1000).has_value());
+    CHECK_FALSE(inflate(bytes.substr(0, bytes.size() / 2), limit).has_value());
+    CHECK_FALSE(inflate("damaged", limit).has_value());
+    CHECK_FALSE(inflate("", limit).has_value());
+}
--- a/bth/fleet/messages.cpp
+++ b/bth/fleet/messages.cpp
@@ -1,5 +1,6 @@
 #include "bth/fleet/messages.h"
 
+#include "bth/fleet/compression.h"
 #include "bth/fleet/internal/fleet_generated.h"
 
 #include <algorithm>
@@ -10,6 +11,13 @@
 
 namespace {
 
+// The first byte of a message tells whether the rest is deflated. Configurations and lists are; the
+// usual reports and updates are too short to gain.
+constexpr char plain_mark = 'p';
+constexpr char deflated_mark = 'd';
+constexpr std::size_t least_compressed = 600;
+constexpr std::size_t most_inflated = std::size_t{64} * 1024 * 1024;
+
 std::uint32_t to_ms(duration time)
 {
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -246,26 +254,12 @@
                            agreed_index{from.index}};
 }
 
-} // namespace
-
-std::string encode(const message& what)
-{
-    frames::FrameT frame;
-    std::visit([&](const auto& each) { frame.body.Set(pack(each)); }, what);
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(frames::Frame::Pack(builder, &frame));
-    return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
-}
-
-std::optional<message> decode(std::string_view bytes)
+std::optional<message> decode_plain(std::string_view bytes)
 {
     // Scalars are read in place, which needs an aligned buffer.
-    const std::vector<std::uint64_t> aligned = [&] {
-        std::vector<std::uint64_t> copy((bytes.size() + sizeof(std::uint64_t) - 1) /
-                                        sizeof(std::uint64_t));
-        std::copy(bytes.begin(), bytes.end(), reinterpret_cast<char*>(copy.data()));
-        return copy;
-    }();
+    std::vector<std::uint64_t> aligned((bytes.size() + sizeof(std::uint64_t) - 1) /
+                                       sizeof(std::uint64_t));
+    std::copy(bytes.begin(), bytes.end(), reinterpret_cast<char*>(aligned.data()));
     const auto* data = reinterpret_cast<const std::uint8_t*>(aligned.data());
     flatbuffers::Verifier verifier{data, bytes.size()};
     if (!frames::VerifyFrameBuffer(verifier)) {
@@ -290,4 +284,34 @@
     return std::nullopt;
 }
 
+} // namespace
+
+std::string encode(const message& what)
+{
+    frames::FrameT frame;
+    std::visit([&](const auto& each) { frame.body.Set(pack(each)); }, what);
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(frames::Frame::Pack(builder, &frame));
+    const std::string_view plain{reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                                 builder.GetSize()};
+    if (plain.size() < least_compressed) {
+        return std::string{plain_mark} + std::string{plain};
+    }
+    return std::string{deflated_mark} + deflate(plain);
+}
+
+std::optional<message> decode(std::string_view bytes)
+{
+    if (bytes.empty()) {
+        return std::nullopt;
+    }
+    const char mark = bytes.front();
+    bytes.remove_prefix(1);
+    if (mark == plain_mark) {
+        return decode_plain(bytes);
+    }
+    const auto plain = mark == deflated_mark ? inflate(bytes, most_inflated) : std::nullopt;
+    return plain ? decode_plain(*plain) : std::nullopt;
+}
+
 } // namespace bth::fleet
