--- /dev/null
+++ b/process_tests/platform_standins.py
@@ -0,0 +1,133 @@
+"""Stand-ins for the users' platform on loopback: targets, the list of targets, and configurations.
+
+    target = Target("i-1", "orders", "n1", endpoint)
+    platform = TargetList(endpoint, [target])
+"""
+import http.server
+import json
+import threading
+import time
+
+PREFIX = "X-Buckthornhatch-"
+RECEIPT = PREFIX + "Response-Seal"
+REQUEST_ID = PREFIX + "Request-Id"
+
+
+class Quiet(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def answer(self, status, body=b"", headers=()):
+        self.send_response_only(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def serve(endpoint, handler):
+    host, port = endpoint.rsplit(":", 1)
+    server = http.server.ThreadingHTTPServer((host, int(port)), handler)
+    server.daemon_threads = True
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+class Target:
+    """A target that counts the runs of each request, and can be told to be slow, shed or cut off."""
+
+    def __init__(self, name, service, domain, endpoint):
+        self.name, self.service, self.domain, self.endpoint = name, service, domain, endpoint
+        self.state = "ready"
+        self.seconds = 0.005
+        self.mode = "serve"
+        self.runs = {}
+        self.lock = threading.Lock()
+        target = self
+
+        class Handler(Quiet):
+            def do_GET(self):
+                target.take(self)
+
+            do_POST = do_GET
+
+        self.server = serve(endpoint, Handler)
+
+    def take(self, request):
+        body = request.rfile.read(int(request.headers.get("Content-Length", 0)))
+        number = request.headers[REQUEST_ID]
+        echo = [(REQUEST_ID, number), (PREFIX + "Server-Load", "1,0,3")]
+        if request.headers[PREFIX + "Expected-Instance"] != self.name:
+            request.answer(421, headers=[(PREFIX + "Instance-Id", self.name)])
+            return
+        if self.mode == "shed":
+            request.answer(503, headers=[*echo, (PREFIX + "Not-Executed", "1")])
+            return
+        with self.lock:
+            self.runs[number] = self.runs.get(number, 0) + 1
+        time.sleep(self.seconds)
+        if self.mode == "cut":
+            request.close_connection = True
+            request.connection.close()
+            return
+        text = f"{self.name} {request.command} {request.path} {len(body)}".encode()
+        try:
+            request.answer(200, text, [*echo, (RECEIPT, "seal-" + number)])
+        except OSError:
+            pass
+
+    def entry(self):
+        return {"service": self.service, "address": self.endpoint, "zone": self.domain,
+                "version": "v1", "slots": 3, "state": self.state, "coldRemainingS": 0}
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class TargetList:
+    """The platform's list, two targets a page."""
+
+    PAGE = 2
+
+    def __init__(self, endpoint, targets):
+        self.endpoint, self.targets = endpoint, list(targets)
+        self.calls = 0
+        listing = self
+
+        class Handler(Quiet):
+            def do_GET(self):
+                listing.calls += 1
+                start = int(self.path.partition("pageToken=")[2] or 0)
+                rows = listing.targets[start:start + listing.PAGE]
+                end = start + listing.PAGE
+                body = {"instances": {each.name: each.entry() for each in rows},
+                        "nextPageToken": str(end) if end < len(listing.targets) else None}
+                if start == 0:
+                    body["instances"]["unreadable"] = {"service": 7}
+                self.answer(200, json.dumps(body).encode(),
+                            [("Content-Type", "application/json")])
+
+        self.server = serve(endpoint, Handler)
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+def configuration(version, routes, services):
+    """A configuration; `routes` maps a prefix to a service and a kind."""
+    return {
+        "version": f"r{version}",
+        "routes": {f"route{row}": {
+            "host": "shop.example", "pathPrefix": prefix, "kind": kind, "timeoutS": 2,
+            "targetLatencyS": 0.5, "priority": 1, "service": service, "maxAttempts": 2,
+            "stickySessions": True, "allowedRegions": []}
+            for row, (prefix, (service, kind)) in enumerate(sorted(routes.items()))},
+        "services": {name: {"healthCheckPath": "/health", "connectionLimit": 330,
+                            "coldStartS": 1, "coldPerS": 5} for name in services},
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutS": 3,
+                   "idleTimeoutS": 15}}
--- /dev/null
+++ b/process_tests/platform_test.py
@@ -0,0 +1,334 @@
+"""The programs for the users' platform, as processes against stand-ins that speak its protocol."""
+import http.client
+import itertools
+import json
+import os
+import re
+import signal
+import threading
+import time
+
+import harness
+from platform_standins import PREFIX, RECEIPT, REQUEST_ID, Target, TargetList, configuration
+
+DOMAINS = {"n1": "north", "n2": "north", "s1": "south"}
+ROUTES = {"/read/": ("orders", "idempotent"), "/pay/": ("orders", "non_idempotent")}
+
+
+class PlatformTest(harness.ProcessTest):
+    def setUp(self):
+        super().setUp()
+        self.numbers = itertools.count(1)
+        self.peer_port = harness.free_port(self.address(10))
+        self.operators_port = harness.free_port(self.address(10))
+        self.targets = [Target(f"i-{row}-{domain}", "orders", domain, self.endpoint(100 + row))
+                        for row, domain in enumerate(list(DOMAINS) * 2)]
+        self.listing = TargetList(self.endpoint(200), self.targets)
+        self.controls = {}
+        self.entries = {}
+        self.settings = {}
+        for row, domain in enumerate(DOMAINS):
+            self.start_control(domain, row, first=True)
+            self.start_entry(domain, row)
+        self.version = 1
+        self.put(configuration(1, ROUTES, ["orders"]))
+        self.wait_all_ready()
+
+    def tearDown(self):
+        super().tearDown()
+        for each in [*self.targets, self.listing]:
+            each.close()
+
+    def control_address(self, row):
+        return self.address(10 + row)
+
+    def settings_of(self, domain, address, listen, **more):
+        return {"host": f"host-{address}", "address": address, "failure_domain": domain,
+                "failure_domains": DOMAINS, "first_start": False, "data_folder": "",
+                "listen": {"callers": "", "readiness": "", "operators": "", "look_ups": "",
+                           "metrics": harness.free_endpoint(address),
+                           "peer_port": self.peer_port, **listen},
+                "seeds": [f"{self.control_address(row)}:{self.operators_port}"
+                          for row in range(len(DOMAINS))],
+                "target_list": self.listing.endpoint,
+                "limits": {"retry_ratio": 0.2, "retry_slack": 58, "retry_window_s": 10,
+                           "cold_factor": 1.5, "cold_slack": 5, "look_up_ttl_s": 1,
+                           "stop_grace_s": 6}, **more}
+
+    def start_control(self, domain, row, first=False):
+        address = self.control_address(row)
+        data = self.folder / f"data-{domain}"
+        data.mkdir(exist_ok=True)
+        settings = self.settings_of(
+            domain, address,
+            {"operators": f"{address}:{self.operators_port}",
+             "look_ups": harness.free_endpoint(address)},
+            first_start=first, data_folder=str(data))
+        self.settings[f"control-{domain}"] = settings
+        self.controls[domain] = self.launch(
+            "bth-platform-control", "--settings", self.write(f"control-{domain}.json", settings),
+            name=f"control-{domain}-{len(self.processes)}")
+
+    def start_entry(self, domain, row):
+        address = self.address(30 + row)
+        settings = self.settings_of(domain, address,
+                                    {"callers": harness.free_endpoint(address),
+                                     "readiness": harness.free_endpoint(address)})
+        self.settings[f"entry-{domain}"] = settings
+        self.entries[domain] = self.launch(
+            "bth-platform-entry", "--settings", self.write(f"entry-{domain}.json", settings),
+            name=f"entry-{domain}-{len(self.processes)}")
+
+    def listen(self, name, what):
+        return self.settings[name]["listen"][what]
+
+    def operate(self, method, path, body=None):
+        """An operator's call: any control host, redirects followed, until one answers clearly."""
+        def once():
+            for domain in DOMAINS:
+                where, follow = self.listen(f"control-{domain}", "operators"), 2
+                while True:
+                    try:
+                        status, headers, text = harness.call(where, method, path, body=body,
+                                                             timeout=3)
+                    except OSError:
+                        break
+                    if status == 307 and follow > 0:
+                        where, follow = headers["location"].split("/")[2], follow - 1
+                        continue
+                    if status != 503 and status != 307:
+                        return status, text
+                    break
+            return None
+        return self.until(once, f"{method} {path}")
+
+    def put(self, wanted):
+        status, _ = self.operate("PUT", "/-/configuration", json.dumps(wanted))
+        self.assertEqual(status, 200)
+
+    def is_ready(self, domain):
+        try:
+            where = self.listen(f"entry-{domain}", "readiness")
+            return harness.call(where, "GET", "/-/readiness", timeout=1)[0] == 200
+        except OSError:
+            return False
+
+    def look_up(self, domain, region):
+        where = self.listen(f"control-{domain}", "look_ups")
+        try:
+            status, _, text = harness.call(
+                where, "GET", f"/-/resolution?name=shop.example&region={region}&zone=x", timeout=1)
+        except OSError:
+            return []
+        return json.loads(text)["addresses"] if status == 200 else []
+
+    def wait_all_ready(self):
+        self.until(lambda: all(self.is_ready(each) for each in self.entries), "entry hosts ready")
+        self.until(lambda: all(len(self.look_up(each, "north")) == 2 for each in DOMAINS),
+                   "look-ups name both hosts of the region")
+        for domain in self.entries:
+            self.until(lambda: self.send(domain)[0] == 200, "a request is served")
+
+    def send(self, domain, path="/read/a", method="GET", body=None, object_key="7", timeout=10):
+        number = f"{next(self.numbers):016x}"
+        headers = {"Host": "shop.example", REQUEST_ID: number,
+                   PREFIX + "Affinity-Key": object_key,
+                   PREFIX + "Deadline-Milliseconds": "5000"}
+        where = self.listen(f"entry-{domain}", "callers")
+        status, got, text = harness.call(where, method, path, headers, body, timeout=timeout)
+        return status, got, text, number
+
+    def runs_of(self, number):
+        return sum(each.runs.get(number, 0) for each in self.targets)
+
+    def test_answers_come_unchanged_from_the_targets(self):
+        for domain in self.entries:
+            status, headers, text, number = self.send(domain, "/read/x?q=1", object_key="k")
+            self.assertEqual(status, 200)
+            self.assertEqual(headers[RECEIPT.lower()], "seal-" + number)
+            self.assertRegex(text.decode(), r"^i-\d-n?\w+ GET /read/x\?q=1 0$")
+            status, _, text, number = self.send(domain, "/pay/x", "POST", b"0123456789")
+            self.assertTrue(text.decode().endswith("POST /pay/x 10"))
+            self.assertEqual(self.runs_of(number), 1)
+        self.assertEqual(self.send("n1", "/none/x")[0], 404)
+
+    def test_hosts_of_a_region_send_an_object_to_one_target(self):
+        served = {self.send(domain, object_key="one object")[2].split()[0]
+                  for domain in ("n1", "n2", "n1", "n2")}
+        self.assertEqual(len(served), 1)
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        host, port = self.listen("entry-n1", "callers").rsplit(":", 1)
+        with harness.socket.create_connection((host, int(port)), timeout=10) as connection:
+            for each in range(5):
+                connection.sendall(
+                    f"GET /read/{each} HTTP/1.1\r\nHost: shop.example\r\n"
+                    f"{REQUEST_ID}: p{each}\r\n{PREFIX}Affinity-Key: {each}\r\n\r\n".encode())
+            got = b""
+            while got.count(b"HTTP/1.1 200") < 5 or not got.endswith(b"/read/4 0"):
+                part = connection.recv(65536)
+                self.assertTrue(part, got)
+                got += part
+        self.assertEqual(re.findall(rb"seal-p(\d)", got), [b"0", b"1", b"2", b"3", b"4"])
+
+    def test_a_configuration_reaches_every_entry_host(self):
+        self.put(configuration(5, {**ROUTES, "/new/": ("orders", "idempotent")}, ["orders"]))
+        for domain in self.entries:
+            self.until(lambda: self.send(domain, "/new/x")[0] == 200, "the new route is served")
+        self.put(configuration(3, ROUTES, ["orders"]))
+        status, text = self.operate("GET", "/-/configuration")
+        self.assertEqual((status, json.loads(text)["version"]), (200, "r5"))
+
+    def test_an_invalid_configuration_is_refused_and_not_in_force(self):
+        bad = configuration(9, {"/read/": ("nowhere", "idempotent")}, ["orders"])
+        self.assertEqual(self.operate("PUT", "/-/configuration", json.dumps(bad))[0], 400)
+        self.assertEqual(self.operate("PUT", "/-/configuration", '{"version":"r9"')[0], 400)
+        self.assertEqual(json.loads(self.operate("GET", "/-/configuration")[1])["version"], "r1")
+
+    def test_all_control_hosts_killed_at_once_lose_nothing(self):
+        self.put(configuration(8, ROUTES, ["orders"]))
+        self.assertEqual(self.operate("POST", "/-/evacuation/s1")[0], 200)
+        for each in self.controls.values():
+            each.kill()
+        for row, domain in enumerate(DOMAINS):
+            self.start_control(domain, row)
+        status, text = self.operate("GET", "/-/configuration")
+        self.assertEqual((status, json.loads(text)["version"]), (200, "r8"))
+        self.until(lambda: not self.send("s1")[2].split()[0].endswith(b"s1"), "still evacuated")
+
+    def test_a_control_host_that_lost_its_disk_comes_back_as_a_newcomer(self):
+        self.put(configuration(6, ROUTES, ["orders"]))
+        self.controls["n2"].kill()
+        for each in (self.folder / "data-n2").iterdir():
+            each.unlink()
+        self.start_control("n2", 1)
+        self.put(configuration(7, ROUTES, ["orders"]))
+        self.until(lambda: any(b"agreed" in line and b"version=7" in line
+                               for line in self.lines(self.controls["n2"])),
+                   "the newcomer holds what was agreed")
+
+    def test_an_evacuated_domain_gets_nothing_until_it_is_taken_back(self):
+        self.assertEqual(self.operate("POST", "/-/evacuation/n1")[0], 200)
+        domains = lambda: {self.send("n1", object_key=str(key))[2].split()[0][-2:]
+                           for key in range(12)}
+        self.until(lambda: b"n1" not in domains(), "n1 gets nothing")
+        self.assertEqual(self.operate("DELETE", "/-/evacuation/n1")[0], 200)
+        self.until(lambda: b"n1" in domains(), "n1 gets requests again")
+
+    def test_a_leaving_target_is_left_alone(self):
+        status, _, text, _ = self.send("n1", object_key="z")
+        name = text.split()[0].decode()
+        target = next(each for each in self.targets if each.name == name)
+        target.state = "draining"
+        self.until(lambda: self.send("n1", object_key="z")[2].split()[0].decode() != name,
+                   "another target serves the object")
+
+    def test_a_refused_payment_has_not_run_and_a_lost_one_is_not_repeated(self):
+        for each in self.targets:
+            each.mode = "shed"
+        status, headers, _, number = self.send("n1", "/pay/x", "POST", b"1")
+        self.assertEqual((status, self.runs_of(number)), (503, 0))
+        self.assertIn("retry-after", headers)
+        for each in self.targets:
+            each.mode = "cut"
+        status, _, _, number = self.send("n1", "/pay/x", "POST", b"1")
+        self.assertEqual((status, self.runs_of(number)), (502, 1))
+
+    def test_a_host_that_stops_cuts_nothing_off(self):
+        for each in self.targets:
+            each.seconds = 0.3
+        outcomes = []
+        stop = threading.Event()
+
+        def keep_calling():
+            while not stop.is_set():
+                outcomes.append(self.send("n1")[0])
+
+        callers = [threading.Thread(target=keep_calling) for _ in range(4)]
+        for each in callers:
+            each.start()
+        self.until(lambda: len(outcomes) > 8, "callers are served")
+        self.entries["n1"].signal(signal.SIGTERM)
+        self.until(lambda: all(len(self.look_up(each, "north")) == 1 for each in DOMAINS),
+                   "look-ups leave the host out")
+        self.assertFalse(self.is_ready("n1"))
+        stop.set()
+        for each in callers:
+            each.join()
+        self.assertEqual(self.entries["n1"].wait_exit(), 0)
+        self.assertEqual(set(outcomes), {200})
+
+    def test_a_killed_host_is_left_out_and_its_targets_are_served_on(self):
+        self.entries["n2"].kill()
+        self.until(lambda: all(len(self.look_up(each, "north")) == 1 for each in DOMAINS),
+                   "look-ups leave the host out")
+        for key in range(20):
+            self.until(lambda: self.send("n1", object_key=str(key))[0] == 200, "served")
+
+    def test_a_frozen_owner_is_passed_by(self):
+        self.entries["n2"].signal(signal.SIGSTOP)
+        for key in range(20):
+            self.until(lambda: self.send("n1", object_key=str(key))[0] == 200, "served")
+
+    def test_a_caller_that_leaves_frees_its_target(self):
+        for each in self.targets:
+            each.seconds = 1.0
+        host, port = self.listen("entry-n1", "callers").rsplit(":", 1)
+        caller = http.client.HTTPConnection(host, int(port))
+        caller.request("GET", "/read/a", headers={"Host": "shop.example", REQUEST_ID: "gone"})
+        self.until(lambda: self.runs_of("gone") == 1, "the request runs")
+        caller.close()
+        self.until(lambda: any(b"request=gone" in line and b"caller_gone" in line
+                               for line in self.lines(self.entries["n1"])),
+                   "the send is given up")
+
+    def test_settings_are_checked(self):
+        settings = dict(self.settings["entry-n1"])
+        code, _, _ = self.run_program("bth-platform-entry", "--check", "--settings",
+                                      self.write("good.json", settings))
+        self.assertEqual(code, 0)
+        del settings["target_list"]
+        code, _, errors = self.run_program("bth-platform-entry", "--check", "--settings",
+                                           self.write("bad.json", settings))
+        self.assertEqual(code, 1)
+        self.assertIn("target_list", errors)
+
+    def lines(self, process):
+        """The lines that a process has written to standard output so far."""
+        os.set_blocking(process.popen.stdout.fileno(), False)
+        seen = getattr(process, "seen", b"")
+        part = process.popen.stdout.read()
+        process.seen = seen + (part or b"")
+        return process.seen.splitlines()
+
+    def test_a_request_is_followed_from_its_id_to_its_cause(self):
+        for each in self.targets:
+            each.mode = "cut"
+        _, _, _, number = self.send("n1", "/pay/x", "POST", b"1")
+        def found():
+            every = [line.decode() for each in self.entries.values() for line in self.lines(each)]
+            return [line for line in every if f"request={number}" in line]
+        self.until(lambda: any("event=ended" in line and "status=502" in line for line in found()),
+                   "the end of the request")
+        self.until(lambda: any("event=sent" in line and "outcome=broken" in line
+                               for line in found()), "the send that broke")
+
+    def test_metrics_are_served(self):
+        self.send("n1")
+        status, _, text = harness.call(self.listen("entry-n1", "metrics"), "GET", "/metrics")
+        self.assertEqual(status, 200)
+        self.assertIn(b"bth_gateway_requests_total", text)
+        self.assertIn(b"bth_gateway_answer_seconds_bucket", text)
+
+    def test_a_reader_that_is_stuck_holds_nothing_up(self):
+        # Nobody reads the standard output of the processes here; far more is logged than a pipe holds.
+        for each in self.targets:
+            each.mode = "shed"
+        begun = time.monotonic()
+        for _ in range(400):
+            self.send("n1")
+        self.assertLess(time.monotonic() - begun, harness.GIVE_UP_SECONDS)
+
+
+if __name__ == "__main__":
+    harness.main()
