Teach a busy object to one more target only, and none of an evacuated domain

Cause: objects whose home was busy went to whichever target was least busy and drove out objects that it knew; objects of an evacuated domain had no home at all.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -30,6 +31,10 @@
 constexpr double late_queue_step = 0.1;
 constexpr double least_late_queue = 0.2;
 
+// How much a target that is no home of the object is avoided, as a part of the gain of a warm
+// target: targets remember few objects, and every further one drives out one of theirs.
+constexpr double stranger_penalty = 0.3;
+
 struct candidate {
     placement found;
     fractional_ms cost{};
@@ -76,33 +81,47 @@
     return even_ejected || !row->is_ejected(question.now);
 }
 
-// The target of the caller's region that all hosts send this object to while it has room.
-const target* home_of(const target_board& board, const placement_question& question,
-                      const std::vector<target_ptr>& rows)
+// The target of the caller's region that all hosts send an object to while it has room, and the one
+// that they all turn to when it has none, so that a busy object is taught to one more target only.
+struct object_homes {
+    const target* first{};
+    const target* second{};
+};
+
+object_homes homes_of(const target_board& board, const placement_question& question)
 {
-    const target* home = nullptr;
-    std::uint64_t best = 0;
-    for (const auto& row : rows) {
-        if (board.region_of(row->facts().domain) != question.region) {
+    object_homes homes;
+    if (question.key == 0 || !question.sticky) {
+        return homes;
+    }
+    std::uint64_t first_rank = 0;
+    std::uint64_t second_rank = 0;
+    for (const auto& row : board.of_service(question.service)) {
+        if (!board.may_serve(*row) || board.region_of(row->facts().domain) != question.region) {
             continue;
         }
         const auto rank = affinity_rank(question.key, row->facts().id);
-        if (home == nullptr || rank > best) {
-            home = row.get();
-            best = rank;
+        if (homes.first == nullptr || rank > first_rank) {
+            homes.second = std::exchange(homes.first, row.get());
+            second_rank = std::exchange(first_rank, rank);
+        }
+        else if (homes.second == nullptr || rank > second_rank) {
+            homes.second = row.get();
+            second_rank = rank;
         }
     }
-    return home;
+    return homes;
 }
 
 candidate weigh(const target_board& board, const placement_question& question,
-                const work_estimate& work, const target_ptr& row, const target* home)
+                const work_estimate& work, const target_ptr& row, const object_homes& homes)
 {
     candidate made;
     made.found.where = row;
     made.rank = affinity_rank(question.key, row->facts().id);
     made.found.known = question.key != 0 && row->knows(question.key);
-    made.found.warm = question.sticky && (made.found.known || row.get() == home);
+    const bool is_second = row.get() == homes.second;
+    made.found.warm = question.sticky && (made.found.known || row.get() == homes.first);
     made.found.work = work.of(made.found.warm) * row->slowness();
     made.found.way = way_to(question, row->facts().domain, board.region_of(row->facts().domain));
     const double slots = std::max<std::uint32_t>(row->slots(), 1);
@@ -113,7 +132,7 @@
         // Work on an object that is new to the target holds its slots for longer, at the expense of
         // the objects that it knows.
         const double busy = std::min(1.0, row->occupancy(question.now) / slots);
-        made.cost += (work.cold - work.warm) * busy;
+        made.cost += (work.cold - work.warm) * (busy + (is_second ? 0.0 : stranger_penalty));
     }
     if (row->on_trial()) {
         made.cost += failure_penalty;
@@ -125,13 +144,13 @@
                                  const work_estimate& work, bool even_ejected)
 {
     const auto& rows = board.of_service(question.service);
-    const target* home = question.key != 0 ? home_of(board, question, rows) : nullptr;
+    const auto homes = homes_of(board, question);
     std::optional<candidate> best;
     for (const auto& row : rows) {
         if (!may_take(board, question, row, even_ejected)) {
             continue;
         }
-        auto next = weigh(board, question, work, row, home);
+        auto next = weigh(board, question, work, row, homes);
         if (!best || next.cost < best->cost ||
             (next.cost == best->cost && next.rank > best->rank)) {
             best = std::move(next);
@@ -175,9 +194,8 @@
     if (!may_take(board, question, where, false)) {
         return tl::unexpected{unplaced{placement_failure::no_target, work.warm}};
     }
-    const auto* home =
-        question.key != 0 ? home_of(board, question, board.of_service(question.service)) : nullptr;
-    return admit(question, work, weigh(board, question, work, where, home).found);
+    const auto homes = homes_of(board, question);
+    return admit(question, work, weigh(board, question, work, where, homes).found);
 }
 
 tl::expected<placement, unplaced>
