--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -33,6 +33,10 @@
 // which a dead connection means a lost answer.
 constexpr std::chrono::seconds most_idle_repeatable{8};
 constexpr std::chrono::seconds most_idle_once{3};
+// A target accepts within a few milliseconds, and between regions within 50; a lost opening packet
+// comes again only after a second, so that another target is faster than waiting for it.
+constexpr std::chrono::milliseconds connect_limit_near{80};
+constexpr std::chrono::milliseconds connect_limit_far{200};
 // Bounds of the time that a refused caller is told to stay away.
 constexpr std::chrono::milliseconds least_retry_after{50};
 constexpr std::chrono::milliseconds most_retry_after{2000};
@@ -42,6 +46,8 @@
 constexpr double most_owners = 2.5;
 // Owners that may decline a request before it is refused: each costs a trip to another host.
 constexpr std::uint32_t most_declines = 2;
+// Targets that can't be reached before a request is refused; the host itself may be cut off.
+constexpr std::uint32_t most_unreached = 3;
 
 std::string_view view(boost::beast::string_view text)
 {
@@ -456,12 +462,16 @@
 {
     const auto begun = shell::monotonic_now();
     const auto target = what.where.where;
+    const bool near = this->board.region_of(target->facts().domain) == this->region;
     target->begin(begun, what.object);
-    send_order order{
-        target->facts().id, target->facts().where,
-        what.request_id,    std::move(what.bytes),
-        what.to_head,       what.once ? duration{most_idle_once} : duration{most_idle_repeatable},
-        &this->names};
+    send_order order{target->facts().id,
+                     target->facts().where,
+                     what.request_id,
+                     std::move(what.bytes),
+                     what.to_head,
+                     what.once ? duration{most_idle_once} : duration{most_idle_repeatable},
+                     near ? duration{connect_limit_near} : duration{connect_limit_far},
+                     &this->names};
     auto got = co_await send_to(this->pool, std::move(control), std::move(order));
     const auto now = shell::monotonic_now();
     const fractional_ms took = now - begun;
@@ -567,7 +577,7 @@
     const bool has_run_once = now_at.may_have_run && once;
     if (now_at.request->control->aborted() || has_run_once ||
         now_at.sends >= std::max<std::uint32_t>(now_at.way->max_attempts, 1) ||
-        now_at.due - now < least_time_for_repeat) {
+        now_at.unreached > most_unreached || now_at.due - now < least_time_for_repeat) {
         return false;
     }
     // A request that reached no target is no repeat.
@@ -648,6 +658,11 @@
             continue;
         }
         auto got = std::move(*sent);
+        if (got.outcome == send_outcome::not_reached) {
+            // Nothing was sent, so that it takes no attempt.
+            --now_at.sends;
+            ++now_at.unreached;
+        }
         const bool failed = got.outcome == send_outcome::failed;
         if (got.outcome != send_outcome::answered && this->may_send_again(now_at, got)) {
             continue;
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -103,6 +103,8 @@
         time_point objective_due;
         dispatch::object_key key{};
         std::uint32_t sends{};
+        // Targets that could not be reached.
+        std::uint32_t unreached{};
         // Owners that would not take it.
         std::uint32_t declined{};
         dispatch::fractional_ms declined_wait{};
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -23,9 +23,6 @@
 namespace asio = boost::asio;
 using dispatch::send_outcome;
 
-// A target in another region takes 40 ms to accept; a lost opening packet comes again after a
-// second, so that a new try elsewhere is faster than waiting for it.
-constexpr std::chrono::milliseconds connect_limit{250};
 // How long a target keeps an idle connection if it doesn't say.
 constexpr std::chrono::seconds usual_idle_limit{4};
 // Answers to earlier requests that may come first on a connection.
@@ -75,9 +72,9 @@
 }
 
 asio::awaitable<bool> connect(target_connection& made, std::shared_ptr<send_control> control,
-                              endpoint where)
+                              endpoint where, duration most)
 {
-    asio::steady_timer limit{co_await asio::this_coro::executor, connect_limit};
+    asio::steady_timer limit{co_await asio::this_coro::executor, most};
     limit.async_wait([control](const boost::system::error_code& error) {
         if (!error) {
             control->abort();
@@ -199,7 +196,7 @@
     if (!held) {
         held = std::make_unique<target_connection>(co_await asio::this_coro::executor);
         close_by(*held);
-        const bool connected = co_await connect(*held, control, order.where);
+        const bool connected = co_await connect(*held, control, order.where, order.connect_limit);
         control->close = nullptr;
         if (!connected || control->aborted()) {
             co_return given_up(*control, false);
--- a/bth/gateway/target_send.h
+++ b/bth/gateway/target_send.h
@@ -41,6 +41,8 @@
     bool to_head{};
     // A connection that has been idle for longer isn't used: it may be dead without a sign.
     duration most_idle{};
+    // How long a new connection may take.
+    duration connect_limit{};
     const field_names* names{};
 };
 
--- a/process_tests/platform_test.py
+++ b/process_tests/platform_test.py
@@ -234,6 +234,22 @@
         status, _, _, number = self.send("n1", "/pay/x", "POST", b"1")
         self.assertEqual((status, self.runs_of(number)), (502, 1))
 
+    def test_targets_that_cannot_be_reached_take_no_attempt(self):
+        class Dead(Target):
+            def __init__(self, name, domain, endpoint):
+                self.name, self.service, self.domain = name, "orders", domain
+                self.endpoint, self.state, self.runs = endpoint, "ready", {}
+
+            def close(self):
+                pass
+
+        self.listing.targets += [Dead(f"i-dead-{row}", "n1", self.endpoint(150 + row))
+                                 for row in range(12)]
+        self.until(lambda: any(b"event=targets" in line and b"known=18" in line
+                               for line in self.lines(self.entries["n1"])), "the list is known")
+        statuses = {self.send("n1", object_key=str(key))[0] for key in range(20)}
+        self.assertEqual(statuses, {200})
+
     def test_a_host_that_stops_cuts_nothing_off(self):
         for each in self.targets:
             each.seconds = 0.3
