Keep entry hosts connected while the control hosts have no leader

With the control hosts split, each named the few entry hosts that report to it as all there are; entry hosts that moved between them cut their connections to the others, and what was handed over ended in 502.

--- a/bth/fleet/entry_agent.cpp
+++ b/bth/fleet/entry_agent.cpp
@@ -108,10 +108,15 @@
             [this](const auto& a, const auto& b) { return this->distance(a) < this->distance(b); });
     }
     if (next->entry_hosts) {
-        this->neighbours = *next->entry_hosts;
-        this->connect_peers();
+        this->neighbours.hear(*next->entry_hosts);
     }
-    this->on_update(*next);
+    auto news = *next;
+    news.entry_hosts.reset();
+    if (this->neighbours.confirm(next->in_contact)) {
+        news.entry_hosts = this->neighbours.hosts();
+    }
+    this->connect_peers();
+    this->on_update(news);
     return true;
 }
 
@@ -168,6 +173,7 @@
                             .with("contact_age_ms", now - this->in_contact_at),
                         shell::event_weight::essential);
     this->serving = next.name;
+    this->neighbours.change_source();
     this->chosen = now;
     this->connect_peers();
 }
@@ -175,14 +181,19 @@
 // Stays connected with the chosen control host and the entry hosts of the region.
 void entry_agent::connect_peers()
 {
-    std::vector<shell::peer_address> addresses;
-    if (const auto address = parse_ipv4_address(this->serving)) {
-        addresses.push_back({this->serving, {*address, this->settings.peer_port}, true});
+    auto wanted = this->neighbours.to_connect(shell::monotonic_now());
+    wanted.push_back(this->serving);
+    if (wanted == this->connected) {
+        return;
     }
-    for (const auto& each : this->neighbours) {
-        const auto address = parse_ipv4_address(each.name);
-        if (address && each.name != this->name) {
-            addresses.push_back({each.name, {*address, this->settings.peer_port}});
+    this->connected = wanted;
+    std::vector<shell::peer_address> addresses;
+    for (const auto& each : wanted) {
+        const auto address = parse_ipv4_address(each);
+        if (address && each != this->name) {
+            // The control host doesn't know this one and won't connect by itself.
+            addresses.push_back(
+                {each, {*address, this->settings.peer_port}, each == this->serving});
         }
     }
     this->link->set_peers(addresses);
--- a/bth/fleet/entry_agent.h
+++ b/bth/fleet/entry_agent.h
@@ -8,6 +8,7 @@
 
 #include "bth/dispatch/board.h"
 #include "bth/fleet/messages.h"
+#include "bth/fleet/neighbours.h"
 #include "bth/shell/event_log.h"
 #include "bth/shell/peer_link.h"
 
@@ -67,7 +68,8 @@
     std::shared_ptr<shell::peer_link> link;
     boost::asio::steady_timer timer;
     std::vector<control_peer> known;
-    std::vector<entry_host> neighbours;
+    neighbour_table neighbours;
+    std::vector<std::string> connected;
     // The control host that this one is attached to, and when it was chosen and last heard.
     std::string serving;
     time_point chosen;
--- a/process_tests/platform_test.py
+++ b/process_tests/platform_test.py
@@ -286,6 +286,32 @@
         for key in range(20):
             self.until(lambda: self.send("n1", object_key=str(key))[0] == 200, "served")
 
+    def test_control_hosts_without_a_leader_part_no_entry_hosts(self):
+        for each in self.targets:
+            each.seconds = 0.2
+        for domain in ("n1", "s1"):
+            self.controls[domain].signal(signal.SIGSTOP)
+        outcomes = []
+        stop = threading.Event()
+
+        def keep_paying(domain):
+            while not stop.is_set():
+                outcomes.append(self.send(domain, "/pay/x", "POST", b"1",
+                                          object_key=str(len(outcomes)))[0])
+
+        payers = [threading.Thread(target=keep_paying, args=(domain,))
+                  for domain in ("n1", "n2") * 3]
+        for each in payers:
+            each.start()
+        without_leader_s = 7
+        stop.wait(without_leader_s)
+        stop.set()
+        for each in payers:
+            each.join()
+        lost = [line for domain in ("n1", "n2") for line in self.lines(self.entries[domain])
+                if b"event=owner_lost" in line]
+        self.assertEqual((set(outcomes), lost), ({200}, []))
+
     def test_a_caller_that_leaves_frees_its_target(self):
         for each in self.targets:
             each.seconds = 1.0
