--- a/bth/control/main.cpp
+++ b/bth/control/main.cpp
@@ -33,14 +33,6 @@
     return bth::shell::fail_start(program, why);
 }
 
-// A later life of a host has a larger value: the wall time at its start.
-bth::incarnation new_life()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(since).count();
-    return bth::incarnation{static_cast<std::uint64_t>(us)};
-}
-
 std::vector<bth::shell::peer_address> other_peers(const control_settings& settings)
 {
     std::vector<bth::shell::peer_address> peers;
@@ -55,7 +47,7 @@
 std::shared_ptr<bth::shell::peer_link> make_link(boost::asio::io_context& context,
                                                  const control_settings& settings)
 {
-    const bth::shell::peer_link_settings own{settings.host, new_life()};
+    const bth::shell::peer_link_settings own{settings.host, bth::shell::fresh_incarnation()};
     return std::make_shared<bth::shell::peer_link>(context.get_executor(), own);
 }
 
--- a/bth/control/replicated_proposer.cpp
+++ b/bth/control/replicated_proposer.cpp
@@ -24,19 +24,11 @@
 // A peer that hasn't answered its leader for this long counts as unreachable.
 constexpr std::chrono::milliseconds unreachable_after{1000};
 
-// A newcomer's incarnation: later than any earlier one of the host, founders included.
-incarnation fresh_life()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(since).count();
-    return incarnation{static_cast<std::uint64_t>(us)};
-}
-
 consensus::member_settings member_settings_of(const control_settings& settings, bool found)
 {
     consensus::member_settings out;
     out.host = settings.host;
-    out.fresh_life = fresh_life();
+    out.fresh_life = shell::fresh_incarnation();
     out.seed = out.fresh_life.value();
     for (const control_member& each : settings.members) {
         out.replica.seeds.push_back(each.host);
--- a/bth/entry/entry_process.cpp
+++ b/bth/entry/entry_process.cpp
@@ -23,14 +23,6 @@
 
 constexpr duration usual_retry_after = std::chrono::seconds{1};
 
-// A later life of a host has a larger value: the wall time at its start.
-incarnation new_life()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(since).count();
-    return incarnation{static_cast<std::uint64_t>(us)};
-}
-
 steering::node_settings node_settings_of(const entry_settings& settings, incarnation life)
 {
     return {settings.host, life, life.value()};
@@ -39,10 +31,10 @@
 } // namespace
 
 entry_process::entry_process(asio::io_context& context, entry_settings given)
-    : context{context}, settings{std::move(given)}, link{std::make_shared<shell::peer_link>(
-                                                        context.get_executor(),
-                                                        shell::peer_link_settings{
-                                                            this->settings.host, new_life()})},
+    : context{context}, settings{std::move(given)},
+      link{std::make_shared<shell::peer_link>(
+          context.get_executor(),
+          shell::peer_link_settings{this->settings.host, shell::fresh_incarnation()})},
       streams{std::make_shared<stream_hub>(context.get_executor(), this->link)},
       driver{node_settings_of(this->settings, this->link->life()), this->metrics,
              [this](const config::model& model, const std::string& host,
--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -29,13 +29,6 @@
 // was replaced.
 constexpr std::chrono::seconds replaced_silence{6};
 
-incarnation fresh_life()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(since).count();
-    return incarnation{static_cast<std::uint64_t>(us)};
-}
-
 // A leader that is lost is replaced within a second, so that targets that leave are known and
 // changes are acknowledged in time. Messages between regions take 20 ms, a sync 1 ms; a heartbeat
 // more often than this would cost more bytes between regions than all other control traffic.
@@ -80,7 +73,7 @@
 control_host::open(asio::io_context& context, const control_host_settings& settings,
                    platform_calls calls, shell::event_log& events)
 {
-    const auto life = fresh_life();
+    const auto life = shell::fresh_incarnation();
     auto agreed =
         group::open(context, group_settings_of(settings, to_string(settings.address), life));
     if (!agreed) {
--- a/bth/fleet/entry_agent.cpp
+++ b/bth/fleet/entry_agent.cpp
@@ -17,13 +17,6 @@
 // A control host out of contact may be about to regain it, such as during an election.
 constexpr std::chrono::milliseconds contact_limit{1200};
 
-incarnation fresh_life()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(since).count();
-    return incarnation{static_cast<std::uint64_t>(us)};
-}
-
 } // namespace
 
 entry_agent::entry_agent(boost::asio::io_context& context, entry_agent_settings settings,
@@ -31,7 +24,8 @@
     : settings{std::move(settings)}, name{to_string(this->settings.address)}, events{&events},
       on_update{std::move(on_update)}, link{std::make_shared<shell::peer_link>(
                                            context.get_executor(),
-                                           shell::peer_link_settings{this->name, fresh_life()})},
+                                           shell::peer_link_settings{this->name,
+                                                                     shell::fresh_incarnation()})},
       // Hosts that start together don't all begin with the same seed.
       timer{context}, next_choice{this->settings.address.bits}
 {
--- a/bth/shell/net.cpp
+++ b/bth/shell/net.cpp
@@ -57,4 +57,11 @@
     return {monotonic_now(), std::chrono::time_point_cast<std::chrono::milliseconds>(wall)};
 }
 
+incarnation fresh_incarnation()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(since).count();
+    return incarnation{static_cast<std::uint64_t>(us)};
+}
+
 } // namespace bth::shell
--- a/bth/shell/net.h
+++ b/bth/shell/net.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "bth/base/endpoint.h"
+#include "bth/base/ids.h"
 #include "bth/base/time.h"
 
 #include <string>
@@ -28,4 +29,8 @@
 time_point monotonic_now();
 clock_reading read_clocks();
 
+// The incarnation of a process that starts now: later than any earlier one of its host, as long as
+// the time of day isn't set back past the last start.
+incarnation fresh_incarnation();
+
 } // namespace bth::shell
