--- a/bth/fleet/neighbours.h
+++ b/bth/fleet/neighbours.h
@@ -53,6 +53,7 @@
         std::erase_if(this->last_present,
                       [oldest = now - retained](const auto& each) { return each.second < oldest; });
         std::vector<std::string> out;
+        out.reserve(this->last_present.size());
         for (const auto& [name, since] : this->last_present) {
             out.push_back(name);
         }
--- a/bth/fleet/neighbours_test.cpp
+++ b/bth/fleet/neighbours_test.cpp
@@ -18,6 +18,7 @@
 std::vector<entry_host> hosts(const std::vector<std::string>& names)
 {
     std::vector<entry_host> out;
+    out.reserve(names.size());
     for (const auto& name : names) {
         out.push_back({name, {}, "north", true, {}});
     }
