--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -237,13 +237,21 @@
 {
     const auto now = shell::monotonic_now();
     auto& row = this->served[from.name];
-    const bool news = !row.greeted || row.host.ready != got.host.ready;
-    if (!row.greeted) {
-        row.version = got.version;
-        row.index = got.index;
-        const bool same_life = got.serving_life == this->link->life();
-        row.targets = same_life ? got.targets : catalog_revision{};
-        row.greeted = true;
+    const bool is_known = row.held.has_reported();
+    // A revision of the catalog counts for the life of one control host.
+    const bool same_life = got.serving_life == this->link->life();
+    const bool behind = row.held.reported(
+        now, {got.version, got.index, same_life ? got.targets : catalog_revision{}});
+    const bool news = behind || row.host.ready != got.host.ready;
+    if (behind) {
+        row.told.reset();
+    }
+    if (behind && is_known) {
+        this->events->write(shell::event{"entry_host_behind"}
+                                .with("host", from.name)
+                                .with("version", got.version.value())
+                                .with("index", got.index.value())
+                                .with("targets_revision", got.targets.value()));
     }
     row.host = got.host;
     row.heard = now;
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -13,6 +13,7 @@
 #include "bth/fleet/catalog.h"
 #include "bth/fleet/duties.h"
 #include "bth/fleet/group_driver.h"
+#include "bth/fleet/held_state.h"
 #include "bth/fleet/messages.h"
 #include "bth/fleet/registry.h"
 #include "bth/shell/event_log.h"
@@ -103,18 +104,15 @@
 private:
     using group = group_driver<agreed_machine>;
 
-    // An entry host that reports to this control host, and what it was sent last.
+    // An entry host that reports to this control host, and what it was told last.
     struct served_host {
         entry_host host;
         time_point heard;
         time_point sent;
-        route::config_version version;
-        agreed_index index;
-        catalog_revision targets;
+        held_state_tracker held;
         bool in_contact{};
-        bool greeted{};
         // The entry hosts of its region as it was told.
-        std::vector<entry_host> told;
+        std::optional<std::vector<entry_host>> told;
     };
 
     control_host(boost::asio::io_context& context, control_host_settings settings,
--- a/bth/fleet/control_host_news.cpp
+++ b/bth/fleet/control_host_news.cpp
@@ -93,9 +93,10 @@
     const bool contact = this->in_contact(now);
     auto near = this->neighbours(to.host, all);
     const bool other_neighbours = near != to.told;
-    const bool news = other_neighbours || contents.index > to.index ||
-                      contents.version > to.version ||
-                      (this->catalog.was_read() && to.targets != this->catalog.revision()) ||
+    const auto held = to.held.now_holds();
+    const bool news = other_neighbours || contents.index > held.index ||
+                      contents.version > held.version ||
+                      (this->catalog.was_read() && held.targets != this->catalog.revision()) ||
                       contact != to.in_contact;
     if (!news && now - to.sent < update_interval) {
         return;
@@ -105,14 +106,14 @@
     out.in_contact = contact;
     out.version = contents.version;
     out.index = contents.index;
-    if (contents.version > to.version) {
+    if (contents.version > held.version) {
         out.text = contents.text;
     }
-    if (contents.index >= to.index) {
+    if (contents.index >= held.index) {
         out.evacuated = contents.evacuated;
     }
     if (this->catalog.was_read()) {
-        out.targets = this->catalog.since(to.targets);
+        out.targets = this->catalog.since(held.targets);
     }
     for (const auto& [control, domain] : this->control_domains) {
         if (control == this->name || this->peers.contains(control)) {
@@ -128,9 +129,8 @@
     }
     const auto bytes = encode(out);
     to.sent = now;
-    to.version = std::max(to.version, contents.version);
-    to.index = std::max(to.index, contents.index);
-    to.targets = this->catalog.revision();
+    to.held.sent(now, {std::max(held.version, contents.version),
+                       std::max(held.index, contents.index), this->catalog.revision()});
     to.in_contact = contact;
     const bool sent =
         this->link->send(host, wire::frame_kind::membership,
--- a/bth/fleet/entry_agent.cpp
+++ b/bth/fleet/entry_agent.cpp
@@ -10,12 +10,20 @@
 
 namespace {
 
-// Updates come every 400 ms, so that two are missed; reports go out as often.
-constexpr std::chrono::milliseconds silence_limit{1000};
+// Reports go out as often as updates come; a control host forgets a host after three of them.
 constexpr std::chrono::milliseconds report_interval{400};
+// A tenth of the time in which the loss of a control host is noticed.
 constexpr std::chrono::milliseconds step_interval{100};
-// A control host out of contact may be about to regain it, such as during an election.
-constexpr std::chrono::milliseconds contact_limit{1200};
+
+std::vector<std::string> names_of(const std::vector<ipv4_address>& addresses)
+{
+    std::vector<std::string> out;
+    out.reserve(addresses.size());
+    for (const auto& each : addresses) {
+        out.push_back(to_string(each));
+    }
+    return out;
+}
 
 } // namespace
 
@@ -27,12 +35,9 @@
                                            shell::peer_link_settings{this->name,
                                                                      shell::fresh_incarnation()})},
       // Hosts that start together don't all begin with the same seed.
-      timer{context}, next_choice{this->settings.address.bits}
-{
-    for (const auto& each : this->settings.seeds) {
-        this->known.push_back({to_string(each), {}});
-    }
-}
+      timer{context}, choice{this->settings.domain, this->settings.regions,
+                             names_of(this->settings.seeds), this->settings.address.bits}
+{}
 
 tl::expected<void, std::string> entry_agent::start()
 {
@@ -47,13 +52,12 @@
     this->link->on_change([self = shared_from_this()](const auto& peer, bool connected) {
         self->events->write(
             shell::event{connected ? "peer_connected" : "peer_lost"}.with("host", peer.name),
-            peer.name == self->serving ? shell::event_weight::essential
-                                       : shell::event_weight::notable);
-        if (connected && peer.name == self->serving) {
+            peer.name == self->choice.serving() ? shell::event_weight::essential
+                                                : shell::event_weight::notable);
+        if (connected && peer.name == self->choice.serving()) {
             self->report_now();
         }
     });
-    this->choose(shell::monotonic_now());
     this->tick();
     return {};
 }
@@ -85,22 +89,12 @@
         return false;
     }
     const auto* next = std::get_if<update>(&*got);
-    if (next == nullptr || from.name != this->serving) {
+    if (next == nullptr || from.name != this->choice.serving()) {
         return true;
     }
-    const auto now = shell::monotonic_now();
-    this->heard = now;
-    if (next->in_contact) {
-        this->in_contact_at = now;
-    }
+    this->choice.hear(shell::monotonic_now(), next->in_contact, next->control_hosts);
     this->serving_life = next->life;
     this->targets = next->targets.revision;
-    if (!next->control_hosts.empty()) {
-        this->known = next->control_hosts;
-        std::stable_sort(
-            this->known.begin(), this->known.end(),
-            [this](const auto& a, const auto& b) { return this->distance(a) < this->distance(b); });
-    }
     if (next->entry_hosts) {
         this->neighbours.hear(*next->entry_hosts);
     }
@@ -114,34 +108,12 @@
     return true;
 }
 
-int entry_agent::distance(const control_peer& host) const
-{
-    if (host.domain == this->settings.domain) {
-        return 0;
-    }
-    const auto own = this->settings.regions.find(this->settings.domain);
-    const auto other = this->settings.regions.find(host.domain);
-    const bool same_region = own != this->settings.regions.end() &&
-                             other != this->settings.regions.end() && own->second == other->second;
-    return same_region ? 1 : 2;
-}
-
 void entry_agent::tick()
 {
     const auto now = shell::monotonic_now();
-    const bool silent = now - std::max(this->heard, this->chosen) > silence_limit;
-    const bool astray = now - std::max(this->in_contact_at, this->chosen) > contact_limit;
-    if (silent || astray) {
-        this->choose(now);
-    }
-    else if (!this->near_chosen && !this->known.empty() && this->heard > this->chosen &&
-             this->distance(this->known.front()) == 0) {
-        // The first choice was any seed; the nearest control host is known by now.
-        this->near_chosen = true;
-        this->next_choice = 0;
-        if (this->known.front().name != this->serving) {
-            this->choose(now);
-        }
+    const std::string before = this->choice.serving();
+    if (this->choice.step(now)) {
+        this->attach(now, before);
     }
     if (now - this->reported >= report_interval) {
         this->report_now();
@@ -154,21 +126,16 @@
     });
 }
 
-void entry_agent::choose(time_point now)
+// Another control host was chosen than the one `before`.
+void entry_agent::attach(time_point now, const std::string& before)
 {
-    if (this->known.empty()) {
-        return;
-    }
-    const auto& next = this->known[this->next_choice++ % this->known.size()];
     this->events->write(shell::event{"control_chosen"}
-                            .with("host", next.name)
-                            .with("before", this->serving)
-                            .with("heard_age_ms", now - this->heard)
-                            .with("contact_age_ms", now - this->in_contact_at),
+                            .with("host", this->choice.serving())
+                            .with("before", before)
+                            .with("heard_age_ms", now - this->choice.heard_at())
+                            .with("contact_age_ms", now - this->choice.in_contact_at()),
                         shell::event_weight::essential);
-    this->serving = next.name;
     this->neighbours.change_source();
-    this->chosen = now;
     this->connect_peers();
 }
 
@@ -176,7 +143,7 @@
 void entry_agent::connect_peers()
 {
     auto wanted = this->neighbours.to_connect(shell::monotonic_now());
-    wanted.push_back(this->serving);
+    wanted.push_back(this->choice.serving());
     if (wanted == this->connected) {
         return;
     }
@@ -187,7 +154,7 @@
         if (address && each != this->name) {
             // The control host doesn't know this one and won't connect by itself.
             addresses.push_back(
-                {each, {*address, this->settings.peer_port}, each == this->serving});
+                {each, {*address, this->settings.peer_port}, each == this->choice.serving()});
         }
     }
     this->link->set_peers(addresses);
@@ -202,7 +169,7 @@
                      this->targets,
                      this->serving_life};
     const auto bytes = encode(out);
-    this->link->send(this->serving, wire::frame_kind::membership,
+    this->link->send(this->choice.serving(), wire::frame_kind::membership,
                      {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
 }
 
--- a/bth/fleet/entry_agent.h
+++ b/bth/fleet/entry_agent.h
@@ -1,5 +1,5 @@
 // Keeps an entry host informed: attaches to one control host, reports to it, and passes on what it
-// says. A control host that falls silent or is out of contact is left for another one.
+// says. Which one that is control_choice.h decides.
 //
 //   auto agent = std::make_shared<entry_agent>(context, settings, events, on_update);
 //   agent->start();
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "bth/dispatch/board.h"
+#include "bth/fleet/control_choice.h"
 #include "bth/fleet/messages.h"
 #include "bth/fleet/neighbours.h"
 #include "bth/shell/event_log.h"
@@ -56,10 +57,8 @@
     bool receive(const shell::peer_identity& from, wire::byte_view payload);
     void tick();
     void report_now();
-    void choose(time_point now);
+    void attach(time_point now, const std::string& before);
     void connect_peers();
-    // How far away a control host is: 0 in the own failure domain, 1 in the region, 2 elsewhere.
-    int distance(const control_peer& host) const;
 
     entry_agent_settings settings;
     std::string name;
@@ -67,17 +66,10 @@
     update_handler on_update;
     std::shared_ptr<shell::peer_link> link;
     boost::asio::steady_timer timer;
-    std::vector<control_peer> known;
     neighbour_table neighbours;
     std::vector<std::string> connected;
-    // The control host that this one is attached to, and when it was chosen and last heard.
-    std::string serving;
-    time_point chosen;
-    time_point heard;
+    control_choice choice;
     time_point reported;
-    time_point in_contact_at;
-    std::size_t next_choice{};
-    bool near_chosen{};
     bool ready{};
     route::config_version version;
     agreed_index index;
