Give a region with few targets homes elsewhere for a part of its objects

Cause: on the grown site a tenth of the targets stands where a third of the callers is. Those targets fill, drive out each other's objects, and each spill is cold work longer than the objective; the callers of that region were the worst served.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -81,36 +81,52 @@
     return even_ejected || !row->is_ejected(question.now);
 }
 
-// The target of the caller's region that all hosts send an object to while it has room, and the one
+// The target that all hosts of the caller's region send an object to while it has room, and the one
 // that they all turn to when it has none, so that a busy object is taught to one more target only.
 struct object_homes {
     const target* first{};
     const target* second{};
+    std::uint64_t first_rank{};
+    std::uint64_t second_rank{};
+
+    void consider(const target* row, std::uint64_t rank)
+    {
+        if (this->first == nullptr || rank > this->first_rank) {
+            this->second = std::exchange(this->first, row);
+            this->second_rank = std::exchange(this->first_rank, rank);
+        }
+        else if (this->second == nullptr || rank > this->second_rank) {
+            this->second = row;
+            this->second_rank = rank;
+        }
+    }
 };
 
+// Whether an object is one of those whose home is in another region.
+bool lives_away(const placement_question& question)
+{
+    // Keys are hashes: their upper bits are an even spread, which the ranks of targets don't use.
+    constexpr int unused_bits = 32;
+    constexpr double all = 4294967296.0;
+    return static_cast<double>(question.key >> unused_bits) < question.away * all;
+}
+
 object_homes homes_of(const target_board& board, const placement_question& question)
 {
-    object_homes homes;
     if (question.key == 0 || !question.sticky) {
-        return homes;
+        return {};
     }
-    std::uint64_t first_rank = 0;
-    std::uint64_t second_rank = 0;
+    object_homes near;
+    object_homes away;
     for (const auto& row : board.of_service(question.service)) {
-        if (!board.may_serve(*row) || board.region_of(row->facts().domain) != question.region) {
-            continue;
-        }
-        const auto rank = affinity_rank(question.key, row->facts().id);
-        if (homes.first == nullptr || rank > first_rank) {
-            homes.second = std::exchange(homes.first, row.get());
-            second_rank = std::exchange(first_rank, rank);
-        }
-        else if (homes.second == nullptr || rank > second_rank) {
-            homes.second = row.get();
-            second_rank = rank;
+        const auto region = board.region_of(row->facts().domain);
+        if (board.may_serve(*row) && allowed(question, region)) {
+            auto& homes = region == question.region ? near : away;
+            homes.consider(row.get(), affinity_rank(question.key, row->facts().id));
         }
     }
-    return homes;
+    const bool goes_away = away.first != nullptr && (near.first == nullptr || lives_away(question));
+    return goes_away ? away : near;
 }
 
 candidate weigh(const target_board& board, const placement_question& question,
--- a/bth/dispatch/placement.h
+++ b/bth/dispatch/placement.h
@@ -53,6 +53,8 @@
     fractional_ms objective_left{};
     // 0 is served first.
     std::uint32_t priority{};
+    // The part of the objects whose home is in another region, from 0 to 1.
+    double away{};
     // The rate that a cold target bears from this host, in requests per second; 0: none.
     std::uint32_t cold_allowance{};
 };
--- a/bth/dispatch/placement_test.cpp
+++ b/bth/dispatch/placement_test.cpp
@@ -204,6 +204,33 @@
     STRCMP_EQUAL(home.c_str(), place(board, question, work)->where->facts().id.c_str());
 }
 
+// A region with few targets for its callers.
+TEST(placement, the_part_of_the_objects_that_lives_away_goes_to_one_target_each_while_idle)
+{
+    constexpr object_key objects = 400;
+    const auto board = make_board();
+    std::size_t away = 0;
+    for (object_key each = 1; each <= objects; ++each) {
+        auto question =
+            make_question(bth::dispatch::make_object_key("orders", std::to_string(each)));
+        question.away = 0.25;
+        const auto found = place(board, question, work);
+        CHECK_TRUE(found->warm);
+        away += found->where->facts().id == "d" ? 1 : 0;
+    }
+    CHECK(away > objects / 5 && away < objects * 3 / 10);
+}
+
+TEST(placement, objects_that_live_away_stay_where_no_other_region_is_allowed)
+{
+    const auto board = make_board();
+    const std::vector<std::string> own{"north"};
+    auto question = make_question(5);
+    question.away = 1.0;
+    question.allowed_regions = &own;
+    CHECK(place(board, question, work)->where->facts().id != "d");
+}
+
 TEST(placement, leaving_evacuated_and_gone_targets_get_nothing)
 {
     auto board = make_board();
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -179,6 +179,23 @@
         dispatch::cold_share(limit, this->entry_hosts.hosts(), this->entry_hosts.rank()), 1);
 }
 
+// The part of the region's objects that other regions serve.
+double gateway::away_share(time_point now, const std::string& service)
+{
+    dispatch::region_room room;
+    for (const auto& each : this->board.of_service(service)) {
+        if (this->board.may_serve(*each)) {
+            const bool near = this->board.region_of(each->facts().domain) == this->region;
+            (near ? room.own_slots : room.other_slots) += each->slots();
+        }
+    }
+    room.own_hosts = static_cast<double>(this->owners.host_count());
+    room.all_hosts = static_cast<double>(this->entry_hosts.hosts());
+    const double wanted = dispatch::away_share(room);
+    // Before all hosts are heard of, the share may be far off, and is not to be held on to.
+    return this->entry_hosts.is_settled(now) ? this->away[service].move_to(now, wanted) : wanted;
+}
+
 dispatch::work_estimate& gateway::work_of(const std::string& route, const std::string& service)
 {
     return this->work[route + '/' + service];
@@ -275,7 +292,7 @@
     co_return made;
 }
 
-dispatch::placement_question gateway::make_question(const passage& now_at) const
+dispatch::placement_question gateway::make_question(const passage& now_at)
 {
     const auto now = shell::monotonic_now();
     dispatch::placement_question question;
@@ -293,6 +310,7 @@
     question.objective_left = now_at.objective_due - now;
     question.priority = now_at.way->priority;
     question.cold_allowance = this->cold_allowance(now_at.service);
+    question.away = this->away_share(now, now_at.service);
     return question;
 }
 
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "bth/dispatch/host_count.h"
 #include "bth/dispatch/ownership.h"
 #include "bth/dispatch/placement.h"
+#include "bth/dispatch/region_share.h"
 #include "bth/dispatch/retry_window.h"
 #include "bth/fleet/messages.h"
 #include "bth/gateway/answer.h"
@@ -125,7 +126,7 @@
 
     boost::asio::awaitable<answer> pass(passage now_at);
     std::optional<answer> refuse_early(const served_request& request, const std::string& id);
-    dispatch::placement_question make_question(const passage& now_at) const;
+    dispatch::placement_question make_question(const passage& now_at);
     std::string request_bytes(const passage& now_at, const dispatch::placement& where,
                               time_point now) const;
     // Sends by way of the target's owner, or directly. Nothing if the owner declined.
@@ -147,6 +148,7 @@
     answer finish(const passage& now_at, answer made, std::string_view ended_by);
     answer end_failed(const passage& now_at, const send_result& got);
     std::uint32_t cold_allowance(const std::string& service) const;
+    double away_share(time_point now, const std::string& service);
     dispatch::work_estimate& work_of(const std::string& route, const std::string& service);
     duration spread(dispatch::fractional_ms base, time_point due);
 
@@ -162,6 +164,7 @@
     std::map<std::string, weighted_split> splits;
     std::map<std::string, dispatch::work_estimate> work;
     std::map<std::string, dispatch::retry_window> retries;
+    std::map<std::string, dispatch::steady_share> away;
     dispatch::host_count entry_hosts;
     dispatch::target_owners owners;
     std::shared_ptr<handoff_desk> desk;
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -247,6 +247,7 @@
     question.objective_left = order.objective_left;
     question.priority = order.priority;
     question.cold_allowance = this->cold_allowance(order.service);
+    question.away = this->away_share(now, order.service);
     const auto found = dispatch::place_at(this->board, question, target,
                                           this->work_of(order.route, order.service));
     out.at_target = static_cast<std::uint32_t>(std::lround(target->occupancy(now)));
