Start no cold work on strangers for requests that would be late there

A request that would be late on a stranger now waits at a home, or is refused if the homes' owners declined it for their queues. One that can be in time, or whose homes failed, still goes elsewhere.

Test first: overload_does_not_turn_into_cold_work and the one on declined requests failed before. The test the_other_region_is_used_when_the_own_one_is_full asked for cold work between regions that would be 90 ms late; it now asks the same where it is in time, and a new one asks it for late requests when all own targets failed.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -39,6 +39,15 @@
     placement found;
     fractional_ms cost{};
     std::uint64_t rank{};
+    // Whether the target is one of the object's homes.
+    bool is_home{};
+};
+
+// Which targets are compared.
+enum class among : std::uint8_t {
+    sound_ones, // All but those that are left alone for their failures.
+    all,
+    homes, // The homes of the object, as far as they are sound.
 };
 
 bool allowed(const placement_question& question, std::string_view region)
@@ -137,6 +146,7 @@
     made.rank = affinity_rank(question.key, row->facts().id);
     made.found.known = question.key != 0 && row->knows(question.key);
     const bool is_second = row.get() == homes.second;
+    made.is_home = is_second || row.get() == homes.first;
     made.found.warm = question.sticky && (made.found.known || row.get() == homes.first);
     made.found.work = work.of(made.found.warm) * row->slowness();
     made.found.way = way_to(question, row->facts().domain, board.region_of(row->facts().domain));
@@ -157,16 +167,19 @@
 }
 
 std::optional<candidate> best_of(const target_board& board, const placement_question& question,
-                                 const work_estimate& work, bool even_ejected)
+                                 const work_estimate& work, among which)
 {
     const auto& rows = board.of_service(question.service);
     const auto homes = homes_of(board, question);
     std::optional<candidate> best;
     for (const auto& row : rows) {
-        if (!may_take(board, question, row, even_ejected)) {
+        if (!may_take(board, question, row, which == among::all)) {
             continue;
         }
         auto next = weigh(board, question, work, row, homes);
+        if (which == among::homes && !next.is_home) {
+            continue;
+        }
         if (!best || next.cost < best->cost ||
             (next.cost == best->cost && next.rank > best->rank)) {
             best = std::move(next);
@@ -175,6 +188,15 @@
     return best;
 }
 
+// Whether a request would start cold on a target that is no home of its object, and be late there.
+// It would hold a slot for several times as long as at home and drive out an object.
+bool spills_in_vain(const placement_question& question, const candidate& best)
+{
+    const bool has_home = question.sticky && question.key != 0;
+    return has_home && !best.is_home && !best.found.warm &&
+           best.found.total() > question.objective_left;
+}
+
 // Whether a request that found its best target is worth sending there.
 tl::expected<placement, unplaced> admit(const placement_question& question,
                                         const work_estimate& work, const placement& found)
@@ -217,14 +239,21 @@
 tl::expected<placement, unplaced>
 place(const target_board& board, const placement_question& question, const work_estimate& work)
 {
-    auto best = best_of(board, question, work, false);
+    auto best = best_of(board, question, work, among::sound_ones);
     if (!best) {
         // All look bad: the fault may be ours, and a try costs less than a refusal.
-        best = best_of(board, question, work, true);
+        best = best_of(board, question, work, among::all);
     }
     if (!best) {
         return tl::unexpected{unplaced{placement_failure::no_target, work.warm}};
     }
+    if (spills_in_vain(question, *best)) {
+        auto home = best_of(board, question, work, among::homes);
+        if (!home && question.declined) {
+            return tl::unexpected{unplaced{placement_failure::overload, work.warm}};
+        }
+        best = home ? std::move(home) : std::move(best);
+    }
     return admit(question, work, best->found);
 }
 
--- a/bth/dispatch/placement.h
+++ b/bth/dispatch/placement.h
@@ -7,8 +7,10 @@
 // doesn't know the object, and much shorter on one that does, while all hosts together ask for
 // about as much as the slots hold. A request goes where its answer is expected first: to a target
 // that knows its object, unless waiting there costs more than starting cold elsewhere or the way to
-// another region does. All hosts of a region rank the targets for an object alike, so that they
-// teach the same target the same object without talking to each other.
+// another region does. It starts cold elsewhere only if it can still be in time there: an overload
+// that turns into cold work would feed itself, since cold work takes several times the slots. All
+// hosts of a region rank the targets for an object alike, so that they teach the same target the
+// same object without talking to each other.
 #pragma once
 
 #include "bth/dispatch/board.h"
@@ -53,6 +55,8 @@
     fractional_ms objective_left{};
     // 0 is served first.
     std::uint32_t priority{};
+    // Whether the owner of one of the targets would not take it, since the queue there is too long.
+    bool declined{};
     // The part of the objects whose home is in another region, from 0 to 1.
     double away{};
     // The rate that a cold target bears from this host, in requests per second; 0: none.
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -311,6 +311,7 @@
     question.priority = now_at.way->priority;
     question.cold_allowance = this->cold_allowance(now_at.service);
     question.away = this->away_share(now, now_at.service);
+    question.declined = now_at.declined > 0;
     return question;
 }
 
