Let the suspicion of a target end

Cause: a target that had failed once was avoided by a fixed 250 ms until it answered something. Where work takes a few milliseconds others were always cheaper, so that it never got another request; seen by the process test that waits for the second failure. Suspicion now ends five seconds after the target is left alone no longer. Test first: a_target_that_failed_once_gets_requests_again_though_others_are_faster failed before.

--- a/bth/dispatch/board.h
+++ b/bth/dispatch/board.h
@@ -34,6 +34,8 @@
     // may have become cold: they are treated so for `cold_time`.
     void set_evacuated(time_point now, const std::set<std::string>& domains, duration cold_time);
 
+    const std::set<std::string, std::less<>>& evacuated_domains() const { return this->evacuated; }
+
     const std::vector<target_ptr>& of_service(std::string_view service) const;
     // The target with that id, or null.
     target_ptr find(std::string_view id) const;
--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -160,7 +160,7 @@
         const double busy = std::min(1.0, row->occupancy(question.now) / slots);
         made.cost += (work.cold - work.warm) * (busy + (is_second ? 0.0 : stranger_penalty));
     }
-    if (row->on_trial()) {
+    if (row->on_trial(question.now)) {
         made.cost += failure_penalty;
     }
     return made;
--- a/bth/dispatch/placement_test.cpp
+++ b/bth/dispatch/placement_test.cpp
@@ -275,6 +275,20 @@
     CHECK_TRUE(place(board, question, work).has_value());
 }
 
+// Work of a few milliseconds is never worth a target that is avoided by a fixed time.
+TEST(placement, a_target_that_failed_once_gets_requests_again_though_others_are_faster)
+{
+    const work_estimate quick{2ms, 4ms};
+    const auto board = make_board();
+    auto question = make_question(5);
+    const auto home = place(board, question, quick)->where;
+    home->begin(start, 5);
+    home->end(start, send_outcome::broken, 1ms, 1ms, {});
+    CHECK(place(board, question, quick)->where != home);
+    question.now = start + 6s;
+    CHECK(place(board, question, quick)->where == home);
+}
+
 TEST(placement, objects_that_live_away_stay_where_no_other_region_is_allowed)
 {
     const auto board = make_board();
--- a/bth/dispatch/target.cpp
+++ b/bth/dispatch/target.cpp
@@ -19,6 +19,9 @@
 // How long a target is left alone at first, and at most.
 constexpr std::chrono::milliseconds first_ejection{500};
 constexpr std::chrono::milliseconds longest_ejection{4000};
+// For how long others are preferred to a target that failed and is left alone no longer. Without
+// an end, a target of a service whose work is short would never get another request.
+constexpr std::chrono::milliseconds suspicion{5000};
 // Bounds of the slowness of a target, so that one odd answer doesn't rule it out.
 constexpr double least_slowness = 0.5;
 constexpr double most_slowness = 8.0;
@@ -92,6 +95,7 @@
 void target::note_failure(time_point now)
 {
     ++this->failures_in_row;
+    this->suspect_until = now + suspicion;
     if (this->failures_in_row < failures_before_ejection) {
         return;
     }
@@ -99,6 +103,7 @@
     const duration length =
         std::min<duration>(first_ejection * (1U << doublings), longest_ejection);
     this->ejected_until = now + length;
+    this->suspect_until = this->ejected_until + suspicion;
 }
 
 void target::take_occupancy(time_point now, std::uint32_t requests)
--- a/bth/dispatch/target.h
+++ b/bth/dispatch/target.h
@@ -88,8 +88,11 @@
 
     // Whether the target has failed so often that it should be left alone for now.
     bool is_ejected(time_point now) const { return now < this->ejected_until; }
-    // Whether the next request is the first one after an ejection.
-    bool on_trial() const { return this->failures_in_row > 0; }
+    // Whether it failed lately and has answered nothing since.
+    bool on_trial(time_point now) const
+    {
+        return this->failures_in_row > 0 && now < this->suspect_until;
+    }
     std::uint32_t failures() const { return this->failures_in_row; }
     // The share of recent sends that it refused to run, from 0 to 1.
     double shed_share() const { return this->sheds; }
@@ -111,6 +114,7 @@
     time_point reported_at;
     time_point cold_until;
     time_point ejected_until;
+    time_point suspect_until;
     std::uint32_t failures_in_row{};
     double sheds{};
     double pace{1.0};
--- a/bth/dispatch/target_test.cpp
+++ b/bth/dispatch/target_test.cpp
@@ -34,10 +34,10 @@
     row.end(start, send_outcome::timed_out, 1ms, 1ms, {});
     CHECK_TRUE(row.is_ejected(start));
     CHECK_FALSE(row.is_ejected(start + 600ms));
-    CHECK_TRUE(row.on_trial());
+    CHECK_TRUE(row.on_trial(start + 600ms));
     row.begin(start + 600ms, 0);
     row.end(start + 700ms, send_outcome::answered, 1ms, 1ms, {});
-    CHECK_FALSE(row.on_trial());
+    CHECK_FALSE(row.on_trial(start + 700ms));
 }
 
 TEST(dispatch_target, each_further_failure_doubles_the_ejection_up_to_a_bound)
