Log retries, evacuations and beliefs on targets; count by priority and failure domain; bound the lines about lines

The flood test found that the line that counts left-out lines came with each further line, so that a flood was written at twice its bound; it comes once a second now. Retries, whether granted or not, evacuations and targets that go bad or well have lines of their own; refusals and answers are counted by priority, sends by failure domain and outcome; a denied retry is no refusal any more. Process tests follow a refused request, a payment and an answer through a lost target by the commands of the operations page, and check that a stuck reader neither holds up nor grows a process.

--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -178,7 +178,7 @@
 // Answers what can't be understood, after the answers to the requests before it.
 void caller_session::answer_bad_request(unsigned status, std::string_view reason)
 {
-    this->path->metrics.count_refusal(refusal_reason::bad_request);
+    this->path->metrics.count_refusal(refusal_reason::bad_request, 0);
     this->path->events->write(
         shell::event{"bad_request"}.with("status", status).with("reason", reason));
     auto one = std::make_shared<pending>();
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -116,10 +116,13 @@
         news.targets.whole || !news.targets.changed.empty() || !news.targets.removed.empty();
     if (has_targets) {
         this->board.apply(now, news.targets.changed, news.targets.removed, news.targets.whole);
+        const auto leaving = std::count_if(news.targets.changed.begin(), news.targets.changed.end(),
+                                           [](const auto& each) { return each.draining; });
         this->events->write(shell::event{"targets"}
                                 .with("whole", news.targets.whole)
                                 .with("changed", news.targets.changed.size())
                                 .with("removed", news.targets.removed.size())
+                                .with("leaving", leaving)
                                 .with("known", this->board.size()));
     }
     if (configuration && configuration->version > this->version) {
@@ -131,15 +134,32 @@
                             shell::event_weight::essential);
     }
     if (news.evacuated && news.index >= this->index) {
-        duration cold{};
-        for (const auto& each : this->table.source().services) {
-            cold = std::max(cold, each.cold_time);
-        }
-        this->board.set_evacuated(now, *news.evacuated, cold);
+        this->take_evacuated(now, *news.evacuated, news.index);
     }
     this->index = std::max(this->index, news.index);
 }
 
+void gateway::take_evacuated(time_point now, const std::set<std::string>& domains,
+                             fleet::agreed_index agreed)
+{
+    const auto& before = this->board.evacuated_domains();
+    if (std::equal(before.begin(), before.end(), domains.begin(), domains.end())) {
+        return;
+    }
+    std::string names;
+    for (const auto& each : domains) {
+        names += names.empty() ? each : "," + each;
+    }
+    this->events->write(
+        shell::event{"evacuation"}.with("domains", names).with("index", agreed.value()),
+        shell::event_weight::essential);
+    duration cold{};
+    for (const auto& each : this->table.source().services) {
+        cold = std::max(cold, each.cold_time);
+    }
+    this->board.set_evacuated(now, domains, cold);
+}
+
 std::string gateway::render_metrics(bool ready)
 {
     return this->metrics.render({this->in_flight, this->callers, this->pool.size(),
@@ -213,7 +233,7 @@
 
 answer gateway::refuse(const passage& now_at, refusal_reason reason, duration come_back)
 {
-    this->metrics.count_refusal(reason);
+    this->metrics.count_refusal(reason, now_at.way->priority);
     const auto run = now_at.may_have_run ? run_state::unknown : run_state::no;
     this->events->write(shell::event{"refused"}
                             .with("request", now_at.id)
@@ -232,7 +252,7 @@
 std::optional<answer> gateway::refuse_early(const served_request& request, const std::string& id)
 {
     if (!this->is_configured()) {
-        this->metrics.count_refusal(refusal_reason::not_configured);
+        this->metrics.count_refusal(refusal_reason::not_configured, 0);
         this->events->write(
             shell::event{"refused"}.with("request", id).with("reason", "not_configured"));
         constexpr std::chrono::milliseconds configured_soon{300};
@@ -241,7 +261,7 @@
     const auto path = path_of(view(request.head.target()));
     const auto host = host_of(view(request.head[http::field::host]));
     if (this->table.find(host, path) == nullptr) {
-        this->metrics.count_refusal(refusal_reason::unknown_service);
+        this->metrics.count_refusal(refusal_reason::unknown_service, 0);
         this->events->write(shell::event{"refused"}
                                 .with("request", id)
                                 .with("reason", "unknown_service")
@@ -288,7 +308,8 @@
     ++this->in_flight;
     auto made = co_await this->pass(std::move(now_at));
     --this->in_flight;
-    this->metrics.observe_answer(made.status, shell::monotonic_now() - request->begun);
+    this->metrics.observe_answer(made.status, way->priority,
+                                 shell::monotonic_now() - request->begun);
     co_return made;
 }
 
@@ -327,11 +348,19 @@
         return false;
     }
     // A request that reached no target is no repeat.
-    if (got.arrived && !this->retries[now_at.service].spend(now)) {
-        this->metrics.count_refusal(refusal_reason::retry_budget);
+    const auto reason = retry_reason_of(got);
+    const bool granted = !got.arrived || this->retries[now_at.service].spend(now);
+    this->events->write(shell::event{"retry"}
+                            .with("request", now_at.id)
+                            .with("reason", to_string(reason))
+                            .with("granted", granted)
+                            .with("sends", now_at.sends)
+                            .with("time_left_ms", now_at.due - now));
+    if (!granted) {
+        this->metrics.count_retry_denied();
         return false;
     }
-    this->metrics.count_retry(retry_reason_of(got));
+    this->metrics.count_retry(reason);
     return true;
 }
 
@@ -339,7 +368,8 @@
 {
     const auto took = shell::monotonic_now() - now_at.request->begun;
     const bool slow = took > now_at.way->objective;
-    if (slow || made.status >= static_cast<unsigned>(http::status::bad_request) ||
+    if (slow || now_at.sends > 1 ||
+        made.status >= static_cast<unsigned>(http::status::bad_request) ||
         this->events->takes_usual()) {
         this->events->write(shell::event{"ended"}
                                 .with("request", now_at.id)
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -28,6 +28,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -124,6 +125,8 @@
         bool once{};
     };
 
+    void take_evacuated(time_point now, const std::set<std::string>& domains,
+                        fleet::agreed_index agreed);
     boost::asio::awaitable<answer> pass(passage now_at);
     std::optional<answer> refuse_early(const served_request& request, const std::string& id);
     dispatch::placement_question make_question(const passage& now_at);
@@ -150,6 +153,8 @@
     answer end_failed(const passage& now_at, const send_result& got);
     std::uint32_t cold_allowance(const std::string& service) const;
     double away_share(time_point now, const std::string& service);
+    void note_belief(time_point now, const dispatch::target& target, std::uint32_t failures_before,
+                     const send_result& got);
     dispatch::work_estimate& work_of(const std::string& route, const std::string& service);
     duration spread(dispatch::fractional_ms base, time_point due);
 
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -206,6 +206,7 @@
                      what.once ? duration{most_idle_once} : duration{most_idle_repeatable},
                      near ? duration{connect_limit_near} : duration{connect_limit_far},
                      &this->names};
+    const auto failures_before = target->failures();
     auto got = co_await send_to(this->pool, std::move(control), std::move(order));
     const auto now = shell::monotonic_now();
     const fractional_ms took = now - begun;
@@ -219,6 +220,8 @@
         const auto* known = this->table.find_service(what.service);
         target->assume_cold(now + (known == nullptr ? duration{} : known->cold_time));
     }
+    this->note_belief(now, *target, failures_before, got);
+    this->metrics.observe_send(target->facts().domain, name_of(got.outcome), now - begun);
     if (got.outcome != send_outcome::answered || this->events->takes_usual()) {
         this->events->write(
             shell::event{"sent"}
@@ -236,6 +239,23 @@
     co_return got;
 }
 
+// Tells when a target begins or ends to be left alone.
+void gateway::note_belief(time_point now, const dispatch::target& target,
+                          std::uint32_t failures_before, const send_result& got)
+{
+    const bool is_bad = target.is_ejected(now);
+    const bool is_well_again = failures_before > 0 && target.failures() == 0;
+    if (target.failures() == failures_before || !(is_bad || is_well_again)) {
+        return;
+    }
+    this->events->write(shell::event{is_bad ? "target_bad" : "target_well"}
+                            .with("target", target.facts().id)
+                            .with("domain", target.facts().domain)
+                            .with("failures", std::max(target.failures(), failures_before))
+                            .with("outcome", name_of(got.outcome))
+                            .with("cold", target.is_cold(now)));
+}
+
 // Whether an order is worth sending, as this host knows its target; `out` tells why not.
 std::optional<dispatch::placement> gateway::judge_order(const handoff_order& order,
                                                         handoff_outcome& out)
--- a/bth/gateway/metrics.cpp
+++ b/bth/gateway/metrics.cpp
@@ -49,9 +49,12 @@
                         .Name("bth_gateway_refusals_total")
                         .Help("Requests that no target answered, by reason.")
                         .Register(*this->registry);
-    for (const refusal_reason reason : all_refusal_reasons()) {
-        this->refusals.at(static_cast<std::size_t>(reason)) =
-            &refused.Add({{"reason", std::string{to_string(reason)}}});
+    for (std::size_t priority = 0; priority < priorities; ++priority) {
+        for (const refusal_reason reason : all_refusal_reasons()) {
+            this->refusals.at(priority).at(static_cast<std::size_t>(reason)) =
+                &refused.Add({{"reason", std::string{to_string(reason)}},
+                              {"priority", std::to_string(priority)}});
+        }
     }
     auto& retried = prometheus::BuildCounter()
                         .Name("bth_gateway_retries_total")
@@ -65,15 +68,30 @@
                          .Name("bth_gateway_answer_seconds")
                          .Help("Time from the request to the answer, by class of status.")
                          .Register(*this->registry);
-    for (std::size_t each = 1; each < status_classes; ++each) {
-        this->answers.at(each) =
-            &answered.Add({{"status", std::to_string(each) + "xx"}}, latency_buckets);
+    for (std::size_t priority = 0; priority < priorities; ++priority) {
+        for (std::size_t each = 1; each < status_classes; ++each) {
+            this->answers.at(priority).at(each) = &answered.Add(
+                {{"status", std::to_string(each) + "xx"}, {"priority", std::to_string(priority)}},
+                latency_buckets);
+        }
     }
+    this->retries_denied = &one_counter(*this->registry, "bth_gateway_retries_denied_total",
+                                        "Retries that the budget of their service forbade.");
+    this->sends = &prometheus::BuildCounter()
+                       .Name("bth_gateway_sends_total")
+                       .Help("Sends to targets, by failure domain of the target and outcome.")
+                       .Register(*this->registry);
+    this->send_times = &prometheus::BuildHistogram()
+                            .Name("bth_gateway_send_seconds")
+                            .Help("Time of a send, by failure domain of the target.")
+                            .Register(*this->registry);
 }
 
-void gateway_metrics::count_refusal(refusal_reason reason)
+void gateway_metrics::count_refusal(refusal_reason reason, std::uint32_t priority)
 {
-    this->refusals.at(static_cast<std::size_t>(reason))->Increment();
+    this->refusals.at(std::min<std::size_t>(priority, priorities - 1))
+        .at(static_cast<std::size_t>(reason))
+        ->Increment();
 }
 
 void gateway_metrics::count_retry(retry_reason reason)
@@ -81,12 +99,23 @@
     this->retries.at(static_cast<std::size_t>(reason))->Increment();
 }
 
-void gateway_metrics::observe_answer(unsigned status, duration took)
+void gateway_metrics::observe_answer(unsigned status, std::uint32_t priority, duration took)
 {
     constexpr unsigned statuses_in_a_class = 100;
     const std::size_t row =
         std::clamp<std::size_t>(status / statuses_in_a_class, 1, status_classes - 1);
-    this->answers.at(row)->Observe(std::chrono::duration<double>(took).count());
+    this->answers.at(std::min<std::size_t>(priority, priorities - 1))
+        .at(row)
+        ->Observe(std::chrono::duration<double>(took).count());
+}
+
+void gateway_metrics::observe_send(const std::string& domain, std::string_view outcome,
+                                   duration took)
+{
+    // Add returns the one that is there already.
+    this->sends->Add({{"domain", domain}, {"outcome", std::string{outcome}}}).Increment();
+    this->send_times->Add({{"domain", domain}}, latency_buckets)
+        .Observe(std::chrono::duration<double>(took).count());
 }
 
 std::string gateway_metrics::render(const levels& now)
--- a/bth/shell/event_log.cpp
+++ b/bth/shell/event_log.cpp
@@ -21,6 +21,9 @@
 // Of the usual lines, one in this many is written.
 constexpr std::uint64_t usual_sample = 64;
 
+// How often it is told what was left out: lines about lines would themselves be a flood.
+constexpr std::chrono::seconds sum_interval{1};
+
 constexpr const char* event_logger_name = "event";
 
 bool ready_for_a_line()
@@ -127,14 +130,17 @@
 
 void event_log::write(const event& what, event_weight weight)
 {
-    if (!this->take_token(monotonic_now()) && weight != event_weight::essential) {
+    const auto now = monotonic_now();
+    if (!this->take_token(now) && weight != event_weight::essential) {
         ++this->pending_left_out;
         ++this->total_left_out;
         return;
     }
-    if (this->pending_left_out > 0) {
+    const bool is_essential = weight == event_weight::essential;
+    if (this->pending_left_out > 0 && (is_essential || now - this->summed >= sum_interval)) {
         this->emit(event{"lines_left_out"}.with("count", this->pending_left_out).text());
         this->pending_left_out = 0;
+        this->summed = now;
     }
     this->emit(what.text());
 }
--- a/bth/shell/event_log.h
+++ b/bth/shell/event_log.h
@@ -4,7 +4,8 @@
 //   events.write(event{"refused"}.with("request", id).with("reason", reason).with("age_ms", age));
 //
 // The volume is bounded: lines over the limit, and lines that a slow reader doesn't take, are left
-// out and counted, and a line with the count follows. Nothing here waits for the reader.
+// out and counted, and a line with the count follows, at most one a second. Nothing here waits for
+// the reader.
 #pragma once
 
 #include "bth/base/time.h"
@@ -106,6 +107,7 @@
     time_point filled;
     std::uint64_t usual_seen{};
     std::uint64_t pending_left_out{};
+    time_point summed;
     std::uint64_t total_left_out{};
 };
 
--- a/process_tests/platform_test.py
+++ b/process_tests/platform_test.py
@@ -1,8 +1,11 @@
 """The programs for the users' platform, as processes against stand-ins that speak its protocol."""
 import http.client
+import itertools
 import json
+import pathlib
 import re
 import signal
+import subprocess
 import threading
 import time
 
@@ -206,17 +209,47 @@
         self.assertEqual(code, 1)
         self.assertIn("target_list", errors)
 
-    def test_a_request_is_followed_from_its_id_to_its_cause(self):
+    def command(self, text):
+        """What a command of docs/OPERATIONS.md prints, beside the logs of the entry hosts."""
+        for domain, process in self.entries.items():
+            (self.folder / f"entry-{domain}.log").write_bytes(b"\n".join(self.lines(process)))
+        return subprocess.run(text, shell=True, cwd=self.folder, capture_output=True, text=True,
+                              check=False).stdout
+
+    def until_found(self, number, *wanted):
+        self.until(lambda: all(any(all(part in line for part in each) for line in
+                                   self.command(f"grep -h 'request={number}' entry-*.log").splitlines())
+                               for each in wanted), f"lines of {number}: {wanted}")
+
+    def test_a_request_refused_under_load_is_followed_from_its_id_to_its_cause(self):
+        for each in self.targets:
+            each.mode = "shed"
+        status, _, _, number = self.send("n1")
+        self.assertEqual(status, 503)
+        self.until_found(number, ("event=refused", "reason=queue_full", "run=no", "retry_after_ms="))
+        self.assertIn("at_target=", self.command("grep -h 'event=sent.*service=orders' entry-*.log"))
+
+    def test_a_payment_that_ended_in_502_is_followed_from_its_id_to_its_cause(self):
         for each in self.targets:
             each.mode = "cut"
-        _, _, _, number = self.send("n1", "/pay/x", "POST", b"1")
-        def found():
-            every = [line.decode() for each in self.entries.values() for line in self.lines(each)]
-            return [line for line in every if f"request={number}" in line]
-        self.until(lambda: any("event=ended" in line and "status=502" in line for line in found()),
-                   "the end of the request")
-        self.until(lambda: any("event=sent" in line and "outcome=broken" in line
-                               for line in found()), "the send that broke")
+        status, _, _, number = self.send("n1", "/pay/x", "POST", b"1")
+        self.assertEqual(status, 502)
+        self.until_found(number, ("event=ended", "status=502", "ended_by=failure", "sends=1"),
+                         ("event=sent", "outcome=broken"))
+
+    def test_an_answer_through_a_lost_target_is_followed_from_its_id_to_its_cause(self):
+        _, _, text, _ = self.send("n1", object_key="slow")
+        home = next(each for each in self.targets if each.name == text.split()[0].decode())
+        home.mode = "cut"
+        status, _, text, number = self.send("n1", object_key="slow")
+        self.assertEqual(status, 200)
+        self.assertNotEqual(text.split()[0].decode(), home.name)
+        self.until_found(number, ("event=sent", f"target={home.name}", "outcome=broken"),
+                         ("event=retry", "reason=broken", "granted=true"),
+                         ("event=ended", "status=200", "sends=2"))
+        self.until(lambda: self.send("n1", object_key=str(next(self.numbers))) and
+                   f"target={home.name}" in self.command("grep -h 'event=target_bad' entry-*.log"),
+                   "the target is known to be bad")
 
     def test_metrics_are_served(self):
         self.send("n1")
@@ -225,14 +258,59 @@
         self.assertIn(b"bth_gateway_requests_total", text)
         self.assertIn(b"bth_gateway_answer_seconds_bucket", text)
 
-    def test_a_reader_that_is_stuck_holds_nothing_up(self):
-        # Nobody reads the standard output of the processes here; far more is logged than a pipe holds.
+    def refuse_all(self, seconds):
+        """Has many requests refused by all targets for a while, so that far more is logged than usual."""
         for each in self.targets:
             each.mode = "shed"
+        end = time.monotonic() + seconds
+        sent = itertools.count()
+
+        def keep_calling():
+            while time.monotonic() < end:
+                self.send("n1", object_key=str(next(sent)))
+
+        callers = [threading.Thread(target=keep_calling) for _ in range(8)]
+        for each in callers:
+            each.start()
+        for each in callers:
+            each.join()
+        return next(sent)
+
+    def test_a_reader_that_is_stuck_neither_holds_up_nor_grows_a_process(self):
+        # Nobody reads the standard output of the processes here; far more is logged than a pipe holds.
+        def resident_kb():
+            status = pathlib.Path(f"/proc/{self.entries['n1'].popen.pid}/status").read_text()
+            return int(re.search(r"VmRSS:\s+(\d+)", status).group(1))
+        self.refuse_all(seconds=2)
+        before = resident_kb()
+        requests = self.refuse_all(seconds=4)
+        self.assertGreater(requests, 200)
+        # A megabyte is room for what connections and tables hold, not for a log of this length.
+        self.assertLess(resident_kb() - before, 1024)
+
+    def test_a_flood_of_lines_keeps_to_the_bound_and_tells_what_was_left_out(self):
+        lines_per_second, burst, essential = 60, 200, 40
+        process = self.entries["n1"]
+        reading = threading.Event()
+
+        def keep_reading():
+            while not reading.wait(0.01):
+                self.lines(process)
+
+        before = len(self.lines(process))
+        reader = threading.Thread(target=keep_reading)
+        reader.start()
         begun = time.monotonic()
-        for _ in range(400):
-            self.send("n1")
-        self.assertLess(time.monotonic() - begun, harness.GIVE_UP_SECONDS)
+        self.refuse_all(seconds=5)
+        reading.set()
+        reader.join()
+        written = self.lines(process)[before:]
+        took = time.monotonic() - begun
+        self.assertLess(len(written), burst + lines_per_second * took + essential)
+        self.assertTrue(any(b"event=lines_left_out" in each for each in written))
+        _, _, text = harness.call(self.listen("entry-n1", "metrics"), "GET", "/metrics")
+        left_out = re.search(rb"^bth_log_lines_left_out (\S+)", text, re.MULTILINE)
+        self.assertGreater(float(left_out.group(1)), 0)
 
 
 if __name__ == "__main__":
