--- a/bth/fleet/compression.cpp
+++ b/bth/fleet/compression.cpp
@@ -4,6 +4,8 @@
 #include <memory>
 #include <new>
 
+// Makes zlib's input const.
+#define ZLIB_CONST
 #include <zlib.h>
 
 namespace bth::fleet {
@@ -34,8 +36,7 @@
 
 void set_input(z_stream& stream, std::string_view bytes)
 {
-    // zlib doesn't write to its input; its type only lacks the const.
-    stream.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
+    stream.next_in = reinterpret_cast<const Bytef*>(bytes.data());
     stream.avail_in = static_cast<uInt>(bytes.size());
 }
 
