--- a/bth/shell/event_log.h
+++ b/bth/shell/event_log.h
@@ -57,7 +57,8 @@
 
 struct event_log_settings {
     // Lines per second that are written on average, and at once. An entry host of the smallest size
-    // takes some 30 requests a second; a line costs 2.5 microseconds (docs/measurements/platform.md).
+    // takes some 30 requests a second; a line costs 2.5 microseconds
+    // (docs/measurements/platform.md).
     double lines_per_second{60};
     double burst{200};
 };
