Pass requests to join the group on to the leader

Cause: a host whose disk was lost, and any host that is no founder, asks only the seeds that its settings name.

Change: a member that follows a leader passes the request on once, with the applicant's name in it. A request of an earlier incarnation doesn't replace a later one.

Test: recovery, wiped_host_is_admitted_by_a_leader_that_is_no_seed_..., which failed before: the wiped host was never a voter again. Three seeds lose their disks one after another under one leader that is no seed.

--- a/bth/consensus/codec.cpp
+++ b/bth/consensus/codec.cpp
@@ -168,9 +168,10 @@
                                              m.received)
             .Union();
     }
-    fb::Offset<void> operator()(const join_request& /*unused*/) const
+    fb::Offset<void> operator()(const join_request& m) const
     {
-        return frames::Createjoin_request(*this->out).Union();
+        const auto applicant = m.applicant ? write(*this->out, *m.applicant) : 0;
+        return frames::Createjoin_request(*this->out, applicant).Union();
     }
 
 private:
@@ -224,8 +225,9 @@
         return snapshot_answer{
             term_number{m->term()}, read(*m->stamp()), {m->index()}, m->received()};
     }
-    if (root.body_as_join_request() != nullptr) {
-        return join_request{};
+    if (const auto* joining = root.body_as_join_request()) {
+        const auto* applicant = joining->applicant();
+        return join_request{applicant == nullptr ? std::nullopt : std::optional{read(*applicant)}};
     }
     return std::nullopt;
 }
--- a/bth/consensus/codec_test.cpp
+++ b/bth/consensus/codec_test.cpp
@@ -26,7 +26,8 @@
             {host_a, host_b, append_answer{term, stamp, true, {5}}},
             {host_a, host_b, snapshot_request{term, stamp, {3}, term, both, 10, 4, "data"}},
             {host_a, host_b, snapshot_answer{term, stamp, {3}, 8}},
-            {host_a, host_b, join_request{}}};
+            {host_a, host_b, join_request{}},
+            {host_a, host_b, join_request{host_b}}};
 }
 
 } // namespace
--- a/bth/consensus/internal/consensus_generated.h
+++ b/bth/consensus/internal/consensus_generated.h
@@ -1213,8 +1213,16 @@
 
 struct join_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef join_requestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_APPLICANT = 4
+  };
+  const bth::consensus::frames::member *applicant() const {
+    return GetPointer<const bth::consensus::frames::member *>(VT_APPLICANT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_APPLICANT) &&
+           verifier.VerifyTable(applicant()) &&
            verifier.EndTable();
   }
 };
@@ -1223,6 +1231,9 @@
   typedef join_request Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_applicant(flatbuffers::Offset<bth::consensus::frames::member> applicant) {
+    fbb_.AddOffset(join_request::VT_APPLICANT, applicant);
+  }
   explicit join_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1235,8 +1246,10 @@
 };
 
 inline flatbuffers::Offset<join_request> Createjoin_request(
-    flatbuffers::FlatBufferBuilder &_fbb) {
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<bth::consensus::frames::member> applicant = 0) {
   join_requestBuilder builder_(_fbb);
+  builder_.add_applicant(applicant);
   return builder_.Finish();
 }
 
--- a/bth/consensus/messages.h
+++ b/bth/consensus/messages.h
@@ -6,6 +6,7 @@
 #include "bth/consensus/types.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -72,8 +73,11 @@
     std::uint64_t received{};
 };
 
-// Sent by a replica that is no member to every host it knows: asks the leader to let it in.
-struct join_request {};
+// Asks the leader to let a replica in that is no member. The replica sends it to its seeds without
+// `applicant`; a seed that follows a leader passes it on with the applicant's name.
+struct join_request {
+    std::optional<member_id> applicant;
+};
 
 using message = std::variant<vote_request, vote_answer, append_request, append_answer,
                              snapshot_request, snapshot_answer, join_request>;
--- a/bth/consensus/recovery_test.cpp
+++ b/bth/consensus/recovery_test.cpp
@@ -71,6 +71,36 @@
     CHECK_TRUE(group.violations().empty());
 }
 
+TEST(recovery, wiped_host_is_admitted_by_a_leader_that_is_no_seed_and_two_more_disks_may_be_lost)
+{
+    constexpr std::size_t seeds = 3;
+    fake_group group{6, 6};
+    group.seed_count = seeds;
+    group.run(3s);
+    for (int i = 0; i < 20 && group.leader().value() < seeds; ++i) {
+        const auto seed = group.leader().value();
+        group.kill(seed);
+        group.run(3s);
+        group.restart(seed);
+        group.run(1s);
+    }
+    const auto leader = group.leader().value();
+    CHECK_TRUE(leader >= seeds);
+    STRCMP_EQUAL("a accepted as 1", submit(group, "a").c_str());
+    for (std::size_t wiped = 0; wiped < seeds; ++wiped) {
+        CHECK_TRUE(group.can_lose_disk(wiped));
+        group.lose_disk(wiped);
+        group.restart(wiped);
+        group.run(2s);
+        UNSIGNED_LONGS_EQUAL(leader, group.leader().value());
+        const auto members = group.status(leader).members;
+        UNSIGNED_LONGS_EQUAL(6, members.voters.size());
+        CHECK_TRUE(is_voter(members, group.status(wiped).self));
+        CHECK_TRUE(group.at(wiped).state().accepted.size() == 1);
+    }
+    CHECK_TRUE(group.violations().empty());
+}
+
 TEST(recovery, resend_after_failover_and_restart_gets_the_first_answer)
 {
     fake_group group{2, 3};
--- a/bth/consensus/replica.cpp
+++ b/bth/consensus/replica.cpp
@@ -114,7 +114,7 @@
         this->on_snapshot_answer(now, from, *received);
     }
     else {
-        this->on_join_request(now, from);
+        this->on_join_request(now, from, std::get<join_request>(body));
     }
 }
 
--- a/bth/consensus/replica.h
+++ b/bth/consensus/replica.h
@@ -224,7 +224,7 @@
     void install(const snapshot_request& request);
 
     // replica_membership.cpp
-    void on_join_request(time_point now, const member_id& from);
+    void on_join_request(time_point now, const member_id& from, const join_request& request);
     void ask_to_join(time_point now);
     void refresh_peers();
     bool change_pending() const;
--- a/bth/consensus/replica_membership.cpp
+++ b/bth/consensus/replica_membership.cpp
@@ -28,13 +28,31 @@
 
 } // namespace
 
-void replica::on_join_request(time_point now, const member_id& from)
+// An applicant knows only its seeds, none of which needs to be the leader. A request that was passed
+// on once isn't passed on again, so that members with different leaders don't pass it in circles.
+void replica::on_join_request(time_point now, const member_id& from, const join_request& request)
 {
-    if (this->role != replica_role::leader || this->find_peer(from) != nullptr) {
+    if (this->role != replica_role::leader) {
+        if (this->leader && !request.applicant && this->leader->host != from.host) {
+            this->send(*this->leader, join_request{from});
+        }
+        return;
+    }
+    const auto& applicant_id = request.applicant.value_or(from);
+    if (this->find_peer(applicant_id) != nullptr) {
+        return;
+    }
+    // A seed may pass on a request of an earlier incarnation after one of the present.
+    const bool superseded = std::any_of(
+        this->applicants.begin(), this->applicants.end(), [&](const auto& row) {
+            return row.member.host == applicant_id.host && row.member.life > applicant_id.life;
+        });
+    if (superseded) {
         return;
     }
-    std::erase_if(this->applicants, [&](const auto& row) { return row.member.host == from.host; });
-    this->applicants.push_back({from, now});
+    std::erase_if(this->applicants,
+                  [&](const auto& row) { return row.member.host == applicant_id.host; });
+    this->applicants.push_back({applicant_id, now});
 }
 
 // A replica that isn't in the configuration it knows, and hears no leader, asks every seed. One
--- a/bth/consensus/testing/fake_group.cpp
+++ b/bth/consensus/testing/fake_group.cpp
@@ -214,8 +214,9 @@
     settings.fresh_life = incarnation{each.life};
     settings.log_bytes = this->log_bytes;
     settings.seed = this->up_to(1'000'000);
-    for (const auto& other : this->hosts) {
-        settings.replica.seeds.push_back(other.name);
+    const auto seeds = std::min(this->seed_count.value_or(this->hosts.size()), this->hosts.size());
+    for (std::size_t i = 0; i < seeds; ++i) {
+        settings.replica.seeds.push_back(this->hosts.at(i).name);
     }
     settings.replica.retained_entries = 20;
     ++each.starts;
--- a/bth/consensus/testing/fake_group.h
+++ b/bth/consensus/testing/fake_group.h
@@ -88,6 +88,8 @@
     // within one take least_delay.
     std::vector<std::size_t> regions;
     std::uint64_t log_bytes{2000};
+    // How many hosts, counted from the first, a process that starts is told as seeds; all if unset.
+    std::optional<std::size_t> seed_count;
     // What a sync takes, before the messages that wait for it leave.
     duration sync_delay{};
     std::size_t messages_sent{};
