Make the updates of a control host in one table, and send them bundled

Cause: a control host answered each report of an entry host that became ready by sending to all, each time with the list of neighbours anew for each recipient, and each new connection, also of an entry host, made it relay the whole list of targets to every other control host. Seeds, which all 273 entry hosts dial first, sent each of them the whole state before it moved to its own control host. Consensus messages waited behind that work: five leaders were lost before traffic, and entry hosts changed their control host 2,316 times.

Change: attachment_table decides which update is due for whom, without I/O. A recipient with a connected control host in its own domain first gets only the names of the control hosts; one list of neighbours per region and second serves all recipients; a change goes out with the next step. relay_schedule bundles relays; the whole list is relayed only when it changed, and to a control host that has just connected.

--- /dev/null
+++ b/bth/fleet/attachment_table.cpp
@@ -0,0 +1,188 @@
+#include "bth/fleet/attachment_table.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace bth::fleet {
+
+namespace {
+
+// Entry hosts report every 400 ms; three reports in a row are missing.
+constexpr std::chrono::milliseconds report_timeout{1500};
+// Interval of updates without changes. Entry hosts select another control host after a second
+// without an update.
+constexpr std::chrono::milliseconds update_interval{400};
+// While this host is isolated, it sends targets to an entry host only after this time. An entry
+// host that searches for a control host in contact abandons an isolated one within about 300 ms,
+// and the full list would fill a slow link for longer than that.
+constexpr std::chrono::milliseconds isolated_full_list_delay{1000};
+// An entry host that knows a control host of its own failure domain moves to it with its next
+// selection, within 100 ms. One that is still attached after this time couldn't reach it.
+constexpr std::chrono::milliseconds redirect_time{1000};
+
+} // namespace
+
+attachment_table::report_result attachment_table::record_report(time_point now,
+                                                                const std::string& name,
+                                                                const report& received,
+                                                                incarnation own_incarnation)
+{
+    auto& attached = this->rows[name];
+    report_result result;
+    result.is_new = !attached.held.has_reported();
+    // A catalog revision is valid for one incarnation of a control host only.
+    const bool same_incarnation = received.control_incarnation == own_incarnation;
+    const bool missed_update = attached.held.record_report(
+        now, {received.version, received.index,
+              same_incarnation ? received.targets : catalog_revision{}});
+    result.is_behind = missed_update && !result.is_new;
+    result.changed_readiness = attached.host.ready != received.host.ready;
+    if (missed_update) {
+        attached.sent_list = 0;
+    }
+    attached.host = received.host;
+    attached.last_report_at = now;
+    if (result.is_new) {
+        attached.attached_since = now;
+    }
+    return result;
+}
+
+std::size_t attachment_table::expire(time_point now)
+{
+    return std::erase_if(this->rows, [&](const auto& each) {
+        return each.second.last_report_at + report_timeout < now;
+    });
+}
+
+std::vector<entry_host> attachment_table::hosts(time_point now) const
+{
+    std::vector<entry_host> out;
+    out.reserve(this->rows.size());
+    for (const auto& [name, each] : this->rows) {
+        out.push_back(each.host);
+        out.back().age = now - each.last_report_at;
+    }
+    return out;
+}
+
+std::string_view attachment_table::region_of(const std::string& domain) const
+{
+    const auto found = this->regions.find(domain);
+    return found == this->regions.end() ? std::string_view{} : found->second;
+}
+
+void attachment_table::refresh_lists(time_point now, const std::vector<entry_host>& all_hosts)
+{
+    std::map<std::string_view, std::vector<entry_host>> by_region;
+    for (const auto& each : all_hosts) {
+        auto& hosts = by_region[this->region_of(each.domain)];
+        hosts.push_back(each);
+        // Ages change all the time.
+        hosts.back().age = {};
+    }
+    for (auto& [region, hosts] : by_region) {
+        auto& list = this->lists[std::string{region}];
+        const bool may_change =
+            list.version == 0 || now - list.changed_at >= neighbour_list_interval;
+        if (may_change && hosts != list.hosts) {
+            ++list.version;
+            list.changed_at = now;
+            list.hosts = std::move(hosts);
+        }
+    }
+}
+
+bool attachment_table::is_to_be_redirected(time_point now, const row& recipient,
+                                           const control_view& view) const
+{
+    if (recipient.host.domain == this->own_domain ||
+        now - recipient.attached_since >= redirect_time) {
+        return false;
+    }
+    return std::any_of(view.control_hosts.begin(), view.control_hosts.end(), [&](const auto& each) {
+        return each.domain == recipient.host.domain &&
+               view.connected_control_hosts.contains(each.name);
+    });
+}
+
+std::vector<due_update> attachment_table::due_updates(time_point now, const control_view& view)
+{
+    this->refresh_lists(now, view.entry_hosts);
+    std::vector<due_update> out;
+    for (auto& [name, recipient] : this->rows) {
+        if (auto body = this->make_update(now, recipient, view)) {
+            out.push_back({name, std::move(*body)});
+        }
+    }
+    return out;
+}
+
+std::optional<update> attachment_table::due_update_of(time_point now, const std::string& name,
+                                                      const control_view& view)
+{
+    const auto found = this->rows.find(name);
+    if (found == this->rows.end()) {
+        return std::nullopt;
+    }
+    this->refresh_lists(now, view.entry_hosts);
+    return this->make_update(now, found->second, view);
+}
+
+std::optional<update> attachment_table::make_update(time_point now, row& recipient,
+                                                    const control_view& view)
+{
+    const auto& state = *view.agreed;
+    const auto held = recipient.held.assumed();
+    const bool redirect = this->is_to_be_redirected(now, recipient, view);
+    const bool include_targets =
+        !redirect && view.catalog->was_read() &&
+        (view.in_contact || now - recipient.attached_since > isolated_full_list_delay);
+    const auto revision = include_targets ? view.catalog->revision() : held.targets;
+    const bool include_state =
+        !redirect && (state.index > held.index || state.version > held.version);
+    const auto list = this->lists.find(this->region_of(recipient.host.domain));
+    const bool include_list = !redirect && list != this->lists.end() &&
+                              list->second.version != recipient.sent_list;
+    const bool has_changes = include_list || include_state || held.targets != revision ||
+                             view.in_contact != recipient.sent_in_contact;
+    if (!has_changes && now - recipient.last_sent_at < update_interval) {
+        return std::nullopt;
+    }
+    update out;
+    out.incarnation_number = view.own_incarnation;
+    out.in_contact = view.in_contact;
+    out.version = state.version;
+    out.index = redirect ? held.index : state.index;
+    if (!redirect && state.version > held.version) {
+        out.text = state.text;
+    }
+    if (!redirect && state.index >= held.index) {
+        out.evacuated = state.evacuated;
+    }
+    out.targets.revision = revision;
+    if (include_targets) {
+        out.targets = view.catalog->changes_since(held.targets);
+    }
+    out.control_hosts = view.control_hosts;
+    const auto& hosts = view.entry_hosts;
+    out.entry_count = static_cast<std::uint32_t>(hosts.size());
+    const auto own_place =
+        std::lower_bound(hosts.begin(), hosts.end(), recipient.host.name,
+                         [](const auto& each, const auto& name) { return each.name < name; });
+    out.entry_rank = static_cast<std::uint32_t>(own_place - hosts.begin());
+    if (include_list) {
+        out.entry_hosts = list->second.hosts;
+        recipient.sent_list = list->second.version;
+    }
+    recipient.last_sent_at = now;
+    if (!redirect) {
+        recipient.held.record_sent(now, {std::max(held.version, state.version),
+                                         std::max(held.index, state.index), revision});
+    }
+    recipient.sent_in_contact = view.in_contact;
+    return out;
+}
+
+} // namespace bth::fleet
--- /dev/null
+++ b/bth/fleet/attachment_table_test.cpp
@@ -0,0 +1,178 @@
+#include "bth/fleet/attachment_table.h"
+
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace bth::fleet;
+using bth::incarnation;
+using bth::time_point;
+
+constexpr time_point start{1h};
+constexpr incarnation own_life{7};
+const bth::dispatch::domain_regions regions{
+    {"n1", "north"}, {"n2", "north"}, {"s1", "south"}, {"s2", "south"}};
+
+entry_host host(int number, const std::string& domain, bool ready)
+{
+    std::string name = "e" + std::to_string(1000 + number);
+    return {std::move(name), {{}, 80}, domain, ready, {}};
+}
+
+// What a control host in the domain "n1" knows.
+struct fixture {
+    attachment_table attached{"c1", "n1", regions};
+    agreed_state agreed;
+    target_catalog catalog;
+    std::vector<entry_host> in_service;
+    std::set<std::string> connected{"c2", "c3"};
+
+    fixture()
+    {
+        this->agreed.version = bth::route::config_version{3};
+        this->agreed.text = "configuration";
+        this->agreed.index = agreed_index{1};
+        this->catalog.record_reading({{"t1", "orders", {}, "n1", 3, false, {}}}, start);
+    }
+    control_view view() const
+    {
+        return {own_life,
+                true,
+                &this->agreed,
+                &this->catalog,
+                {{"c1", "n1"}, {"c2", "n2"}, {"c3", "s1"}},
+                this->connected,
+                this->in_service};
+    }
+    // A report of a host that holds nothing.
+    attachment_table::report_result report_of(time_point now, const entry_host& from)
+    {
+        return this->attached.record_report(now, from.name, {from, {}, {}, {}, {}}, own_life);
+    }
+    // A report of a host that holds everything.
+    attachment_table::report_result full_report_of(time_point now, const entry_host& from)
+    {
+        return this->attached.record_report(now, from.name,
+                                            {from, this->agreed.version, this->agreed.index,
+                                             this->catalog.revision(), own_life},
+                                            own_life);
+    }
+};
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(attachment_table) {};
+// clang-format on
+
+TEST(attachment_table, host_of_the_own_domain_gets_everything_with_its_first_update)
+{
+    fixture at;
+    const auto entry = host(1, "n1", false);
+    at.in_service = {entry};
+    CHECK_TRUE(at.report_of(start, entry).is_new);
+    const auto body = at.attached.due_update_of(start, entry.name, at.view());
+    CHECK_TRUE(body.has_value());
+    STRCMP_EQUAL("configuration", body->text.c_str());
+    LONGS_EQUAL(1, body->targets.changed.size());
+    CHECK_TRUE(body->entry_hosts.has_value());
+    CHECK_FALSE(at.attached.due_update_of(start + 399ms, entry.name, at.view()).has_value());
+    CHECK_TRUE(at.attached.due_update_of(start + 400ms, entry.name, at.view()).has_value());
+}
+
+// All entry hosts of a fleet report to three seeds at once. The target list is 100 KB long.
+TEST(attachment_table, host_with_a_nearer_control_host_is_told_of_it_before_it_gets_any_data)
+{
+    fixture at;
+    const auto entry = host(1, "n2", false);
+    at.in_service = {entry};
+    at.report_of(start, entry);
+    const auto body = at.attached.due_update_of(start, entry.name, at.view());
+    CHECK_TRUE(body.has_value());
+    LONGS_EQUAL(3, body->control_hosts.size());
+    STRCMP_EQUAL("", body->text.c_str());
+    CHECK_FALSE(body->evacuated.has_value());
+    CHECK_FALSE(body->targets.is_full);
+    LONGS_EQUAL(0, body->targets.changed.size());
+    CHECK_FALSE(body->entry_hosts.has_value());
+    // It couldn't reach that control host and stays here.
+    at.report_of(start + 900ms, entry);
+    const auto later = at.attached.due_update_of(start + 1000ms, entry.name, at.view());
+    CHECK_TRUE(later.has_value());
+    STRCMP_EQUAL("configuration", later->text.c_str());
+    LONGS_EQUAL(1, later->targets.changed.size());
+}
+
+TEST(attachment_table, host_whose_nearer_control_host_is_lost_gets_everything_at_once)
+{
+    fixture at;
+    at.connected = {"c3"};
+    const auto entry = host(1, "n2", false);
+    at.in_service = {entry};
+    at.report_of(start, entry);
+    const auto body = at.attached.due_update_of(start, entry.name, at.view());
+    STRCMP_EQUAL("configuration", body->text.c_str());
+    LONGS_EQUAL(1, body->targets.changed.size());
+}
+
+// 90 entry hosts of one region become ready one after another within three seconds.
+TEST(attachment_table, starts_of_many_hosts_cost_each_neighbour_a_few_lists)
+{
+    constexpr int hosts = 90;
+    fixture at;
+    std::vector<int> lists(hosts, 0);
+    for (int i = 0; i < hosts; ++i) {
+        at.in_service.push_back(host(i, "n1", false));
+        at.report_of(start, at.in_service.back());
+    }
+    std::size_t rows_of_last = 0;
+    int ready = 0;
+    for (auto now = start; now < start + 4s; now += 20ms) {
+        if (ready < hosts && now >= start + 33ms * ready) {
+            at.in_service[static_cast<std::size_t>(ready)].ready = true;
+            ++ready;
+        }
+        for (const auto& each : at.in_service) {
+            at.full_report_of(now, each);
+        }
+        for (const auto& due : at.attached.due_updates(now, at.view())) {
+            if (due.body.entry_hosts) {
+                ++lists.at(static_cast<std::size_t>(std::stoi(due.recipient.substr(1)) - 1000));
+                rows_of_last = due.body.entry_hosts->size();
+                CHECK_TRUE(due.body.entry_hosts->front().ready || now < start + 1s);
+            }
+        }
+    }
+    LONGS_EQUAL(hosts, rows_of_last);
+    for (const int each : lists) {
+        LONGS_EQUAL(4, each);
+    }
+}
+
+TEST(attachment_table, hosts_of_another_region_are_left_out)
+{
+    fixture at;
+    const auto entry = host(1, "n1", true);
+    at.in_service = {entry, host(2, "s1", true)};
+    at.report_of(start, entry);
+    const auto body = at.attached.due_update_of(start, entry.name, at.view());
+    LONGS_EQUAL(1, body->entry_hosts->size());
+    LONGS_EQUAL(2, body->entry_count);
+    LONGS_EQUAL(0, body->entry_rank);
+}
+
+TEST(attachment_table, hosts_whose_reports_stop_expire)
+{
+    fixture at;
+    at.report_of(start, host(1, "n1", true));
+    at.report_of(start + 1s, host(2, "n1", true));
+    LONGS_EQUAL(1, at.attached.expire(start + 1501ms));
+    LONGS_EQUAL(1, at.attached.hosts(start + 1501ms).size());
+    CHECK_TRUE(at.report_of(start + 2s, host(1, "n1", true)).is_new);
+}
--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -17,10 +17,6 @@
 
 // Interval at which the host updates its tables and sends the messages that are due.
 constexpr std::chrono::milliseconds housekeeping_interval{100};
-// Interval of relays without changes; other control hosts expire a row after three of them.
-constexpr std::chrono::milliseconds relay_interval{1000};
-// Entry hosts report every 400 ms; three reports in a row are missing.
-constexpr std::chrono::milliseconds report_timeout{1500};
 // A voter that has been disconnected for this long counts as replaced if another control host in
 // its failure domain is a connected voter.
 constexpr std::chrono::seconds replaced_voter_timeout{6};
@@ -86,7 +82,8 @@
       callbacks{std::move(callbacks)}, events{&events}, group{std::move(group)},
       link{std::make_shared<shell::peer_link>(
           context.get_executor(), shell::peer_link_settings{this->name, incarnation_number})},
-      timer{context}, registry{this->settings.regions}
+      timer{context}, registry{this->settings.regions}, attached{this->name, this->settings.domain,
+                                                                 this->settings.regions}
 {
     this->control_domains[this->name] = this->settings.domain;
 }
@@ -241,36 +238,27 @@
 void control_host::handle(const shell::peer_identity& from, const report& received)
 {
     const auto now = shell::monotonic_now();
-    auto& attached = this->attached_hosts[from.name];
-    const bool is_known = attached.held.has_reported();
-    // A catalog revision is valid for one incarnation of a control host only.
-    const bool same_incarnation = received.control_incarnation == this->link->life();
-    const bool missed_update = attached.held.record_report(
-        now, {received.version, received.index,
-              same_incarnation ? received.targets : catalog_revision{}});
-    const bool has_changes = missed_update || attached.host.ready != received.host.ready;
-    if (missed_update) {
-        attached.sent_entry_hosts.reset();
-    }
-    if (missed_update && is_known) {
+    const auto result =
+        this->attached.record_report(now, from.name, received, this->link->life());
+    if (result.is_behind) {
         this->events->write(shell::event{"entry_host_behind"}
                                 .with("host", from.name)
                                 .with("version", received.version.value())
                                 .with("index", received.index.value())
                                 .with("targets_revision", received.targets.value()));
     }
-    attached.host = received.host;
-    attached.last_report_at = now;
-    attached.attached_since = is_known ? attached.attached_since : now;
-    // A failed send closes the connection and destroys `attached`, so don't use it from here on.
-    if (has_changes) {
-        this->events->write(shell::event{"entry_host"}
-                                .with("host", from.name)
-                                .with("ready", received.host.ready)
-                                .with("version", received.version.value()));
-        this->registry.record_hosts(this->name, this->attached_entry_hosts(now), now);
-        this->send_relays(now, false);
-        this->send_updates(now);
+    if (!result.is_new && !result.is_behind && !result.changed_readiness) {
+        return;
+    }
+    this->events->write(shell::event{"entry_host"}
+                            .with("host", from.name)
+                            .with("ready", received.host.ready)
+                            .with("version", received.version.value()));
+    this->registry.record_hosts(this->name, this->attached.hosts(now), now);
+    this->relays.request();
+    // The others follow with the next step, together with those of the same time.
+    if (const auto body = this->attached.due_update_of(now, from.name, this->make_view(now))) {
+        this->send_update(from.name, *body);
     }
 }
 
@@ -300,15 +288,16 @@
         shell::event{connected ? "peer_connected" : "peer_lost"}.with("peer", peer.name));
     const auto now = shell::monotonic_now();
     if (connected) {
-        // If the peer is a control host, the next relay brings it the state that it missed, without
-        // waiting for the relay interval. An entry host ignores relays.
-        this->relay_due = true;
+        // Brings another control host the state that it missed, without waiting for the interval.
+        if (this->peer_names.contains(peer.name)) {
+            this->send_relay(now, true, peer.name);
+        }
         return;
     }
     this->registry.forget(peer.name);
-    if (this->attached_hosts.erase(peer.name) > 0) {
-        this->registry.record_hosts(this->name, this->attached_entry_hosts(now), now);
-        this->send_relays(now, false);
+    if (this->attached.detach(peer.name)) {
+        this->registry.record_hosts(this->name, this->attached.hosts(now), now);
+        this->relays.request();
     }
 }
 
@@ -365,9 +354,7 @@
                 *this->context, [self = shared_from_this()] { return self->read_list(); },
                 asio::detached);
         }
-        if (this->relay_due || now - this->last_relay_at >= relay_interval) {
-            this->send_relays(now, this->relay_due);
-        }
+        this->send_due_relays(now);
         this->send_updates(now);
         this->timer.expires_after(housekeeping_interval);
         boost::system::error_code ignored;
@@ -377,13 +364,11 @@
 
 void control_host::expire_attached_hosts(time_point now)
 {
-    const auto expired = std::erase_if(this->attached_hosts, [&](const auto& each) {
-        return each.second.last_report_at + report_timeout < now;
-    });
-    this->registry.record_hosts(this->name, this->attached_entry_hosts(now), now);
+    const auto expired = this->attached.expire(now);
+    this->registry.record_hosts(this->name, this->attached.hosts(now), now);
     if (expired > 0) {
         this->events->write(shell::event{"entry_hosts_silent"}.with("count", expired));
-        this->send_relays(now, false);
+        this->relays.request();
     }
 }
 
@@ -490,7 +475,7 @@
                                 .with("took_ms", now - started_at));
         this->send_updates(now);
     }
-    this->send_relays(now, list_changed);
+    this->send_relay(now, list_changed, std::nullopt);
 }
 
 } // namespace bth::fleet
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -11,12 +11,13 @@
 
 #include "bth/dispatch/target_registry.h"
 #include "bth/fleet/agreed_state.h"
+#include "bth/fleet/attachment_table.h"
 #include "bth/fleet/catalog.h"
 #include "bth/fleet/group_driver.h"
-#include "bth/fleet/held_state.h"
 #include "bth/fleet/list_reading.h"
 #include "bth/fleet/messages.h"
 #include "bth/fleet/registry.h"
+#include "bth/fleet/relay_schedule.h"
 #include "bth/shell/event_log.h"
 #include "bth/shell/peer_link.h"
 
@@ -114,19 +115,6 @@
 private:
     using consensus_driver = group_driver<agreed_state_machine>;
 
-    // An entry host that reports to this control host, and what was sent to it last.
-    struct attached_host {
-        entry_host host;
-        time_point last_report_at;
-        // When its first report to this control host arrived.
-        time_point attached_since;
-        time_point last_sent_at;
-        held_state_tracker held;
-        bool sent_in_contact{};
-        // The entry hosts of its region as sent last; nothing if they have to be sent again.
-        std::optional<std::vector<entry_host>> sent_entry_hosts;
-    };
-
     control_host(boost::asio::io_context& context, control_host_settings settings,
                  platform_callbacks callbacks, shell::event_log& events,
                  std::shared_ptr<consensus_driver> group, incarnation incarnation_number);
@@ -147,15 +135,16 @@
     void refresh_peers(const consensus::replica_status& group_status);
     void update_membership(const consensus::replica_status& group_status, time_point now);
     boost::asio::awaitable<void> read_list();
-    void send_relays(time_point now, bool include_list);
+    // Sends the relays that are due; see relay_schedule.
+    void send_due_relays(time_point now);
+    // Sends a relay to all control hosts, or to one of them.
+    void send_relay(time_point now, bool include_list, const std::optional<std::string>& only_to);
+    // Sends the updates that are due to all attached entry hosts, or to one of them.
     void send_updates(time_point now);
-    void send_update(const std::string& host, attached_host& recipient, time_point now,
-                     const std::vector<entry_host>& all_hosts);
-    std::vector<entry_host> entry_hosts_in_region(const entry_host& recipient,
-                                                  const std::vector<entry_host>& all_hosts) const;
+    void send_update(const std::string& host, const update& body);
+    control_view make_view(time_point now) const;
     // Whether this host is in contact with the others; see update::in_contact.
     bool in_contact(time_point now) const;
-    std::vector<entry_host> attached_entry_hosts(time_point now) const;
     std::uint32_t own_rank(const consensus::replica_status& group_status) const;
 
     boost::asio::io_context* context;
@@ -168,7 +157,7 @@
     boost::asio::steady_timer timer;
     target_catalog catalog;
     entry_host_registry registry;
-    std::map<std::string, attached_host> attached_hosts;
+    attachment_table attached;
     // The failure domain of each control host that sent a relay, and of this one.
     std::map<std::string, std::string> control_domains;
     // The other control hosts to stay connected to.
@@ -179,9 +168,7 @@
     agreed_index logged_index;
     std::optional<std::string> leader;
     bool is_leader{};
-    time_point last_relay_at;
-    // Whether a relay with the full list is to be sent on the next step.
-    bool relay_due{};
+    relay_schedule relays;
     bool list_read_in_flight{};
     bool stopping{};
 };
