Encode what many entry hosts lack once, and name all hosts of a region in turn

Two causes of one kind: work and callers at one place that belong to many.

A control host encoded and compressed the list of 1,212 targets anew for each entry host that lacked it, some 30 of them at once. Now the text, the changes of the list and the list of neighbours are one encoded part, made once for all recipients that lack the same; the recipient's own part follows.

A look-up answer named the first 64 ready hosts of a region by name, so that a third of the hosts of large got no caller. Each answer now begins with another host. Where a region has less than half of its part of the ready hosts, hosts of other regions are named too, up to that part: its callers overloaded the first hosts that came back.

--- a/bth/fleet/attachment_table.cpp
+++ b/bth/fleet/attachment_table.cpp
@@ -23,6 +23,11 @@
 
 } // namespace
 
+std::string encode(const due_update& due)
+{
+    return due.shared == nullptr ? encode(message{due.own}) : encode_parts(*due.shared, due.own);
+}
+
 attachment_table::report_result attachment_table::record_report(time_point now,
                                                                 const std::string& name,
                                                                 const report& received,
@@ -42,6 +47,7 @@
         attached.sent_list = 0;
     }
     attached.host = received.host;
+    attached.host.name = name;
     attached.last_report_at = now;
     if (result.is_new) {
         attached.attached_since = now;
@@ -112,15 +118,15 @@
     this->refresh_lists(now, view.entry_hosts);
     std::vector<due_update> out;
     for (auto& [name, recipient] : this->rows) {
-        if (auto body = this->make_update(now, recipient, view)) {
-            out.push_back({name, std::move(*body)});
+        if (auto due = this->make_update(now, recipient, view)) {
+            out.push_back(std::move(*due));
         }
     }
     return out;
 }
 
-std::optional<update> attachment_table::due_update_of(time_point now, const std::string& name,
-                                                      const control_view& view)
+std::optional<due_update> attachment_table::due_update_of(time_point now, const std::string& name,
+                                                          const control_view& view)
 {
     const auto found = this->rows.find(name);
     if (found == this->rows.end()) {
@@ -130,8 +136,40 @@
     return this->make_update(now, found->second, view);
 }
 
-std::optional<update> attachment_table::make_update(time_point now, row& recipient,
-                                                    const control_view& view)
+std::shared_ptr<const std::string> attachment_table::shared_part(const shared_key& key,
+                                                                 const control_view& view)
+{
+    if (key == shared_key{}) {
+        return nullptr;
+    }
+    const auto found = this->shared_parts.find(key);
+    if (found != this->shared_parts.end()) {
+        return found->second;
+    }
+    // Parts of earlier states aren't asked for again.
+    std::erase_if(this->shared_parts, [&](const auto& each) {
+        const auto& other = each.first;
+        return (other.text != route::config_version{} && other.text != view.agreed->version) ||
+               (other.targets != catalog_revision{} && other.targets != view.catalog->revision()) ||
+               (other.list != 0 && other.list != this->lists[other.region].version);
+    });
+    update bulk;
+    if (key.text != route::config_version{}) {
+        bulk.text = view.agreed->text;
+    }
+    if (key.targets != catalog_revision{}) {
+        bulk.targets = view.catalog->changes_since(key.targets_since);
+    }
+    if (key.list != 0) {
+        bulk.entry_hosts = this->lists[key.region].hosts;
+    }
+    auto bytes = std::make_shared<const std::string>(encode(bulk));
+    this->shared_parts.emplace(key, bytes);
+    return bytes;
+}
+
+std::optional<due_update> attachment_table::make_update(time_point now, row& recipient,
+                                                        const control_view& view)
 {
     const auto& state = *view.agreed;
     const auto held = recipient.held.assumed();
@@ -150,39 +188,43 @@
     if (!has_changes && now - recipient.last_sent_at < update_interval) {
         return std::nullopt;
     }
-    update out;
-    out.incarnation_number = view.own_incarnation;
-    out.in_contact = view.in_contact;
-    out.version = state.version;
-    out.index = redirect ? held.index : state.index;
+    shared_key shared;
     if (!redirect && state.version > held.version) {
-        out.text = state.text;
+        shared.text = state.version;
     }
-    if (!redirect && state.index >= held.index) {
-        out.evacuated = state.evacuated;
+    if (held.targets != revision) {
+        shared.targets_since = held.targets;
+        shared.targets = revision;
+    }
+    if (include_list) {
+        shared.region = list->first;
+        shared.list = list->second.version;
+        recipient.sent_list = list->second.version;
     }
-    out.targets.revision = revision;
-    if (include_targets) {
-        out.targets = view.catalog->changes_since(held.targets);
+    due_update due{recipient.host.name, {}, this->shared_part(shared, view)};
+    auto& own = due.own;
+    own.incarnation_number = view.own_incarnation;
+    own.in_contact = view.in_contact;
+    own.version = state.version;
+    own.index = redirect ? held.index : state.index;
+    if (!redirect && state.index >= held.index) {
+        own.evacuated = state.evacuated;
     }
-    out.control_hosts = view.control_hosts;
+    own.targets.revision = revision;
+    own.control_hosts = view.control_hosts;
     const auto& hosts = view.entry_hosts;
-    out.entry_count = static_cast<std::uint32_t>(hosts.size());
+    own.entry_count = static_cast<std::uint32_t>(hosts.size());
     const auto own_place =
         std::lower_bound(hosts.begin(), hosts.end(), recipient.host.name,
                          [](const auto& each, const auto& name) { return each.name < name; });
-    out.entry_rank = static_cast<std::uint32_t>(own_place - hosts.begin());
-    if (include_list) {
-        out.entry_hosts = list->second.hosts;
-        recipient.sent_list = list->second.version;
-    }
+    own.entry_rank = static_cast<std::uint32_t>(own_place - hosts.begin());
     recipient.last_sent_at = now;
     if (!redirect) {
         recipient.held.record_sent(now, {std::max(held.version, state.version),
                                          std::max(held.index, state.index), revision});
     }
     recipient.sent_in_contact = view.in_contact;
-    return out;
+    return due;
 }
 
 } // namespace bth::fleet
--- a/bth/fleet/attachment_table.h
+++ b/bth/fleet/attachment_table.h
@@ -14,6 +14,9 @@
 // - Each start changes the list of entry hosts that all hosts of its region receive. One list a
 //   region is made for all recipients, at most once per neighbour_list_interval, so that n starts
 //   cost a few lists per recipient instead of n.
+// - The list of targets, the configuration and the lists of entry hosts are encoded and compressed
+//   once for all recipients that lack the same. That takes milliseconds for a thousand targets, and
+//   a control host that spends them for each recipient answers no other control host for a second.
 #pragma once
 
 #include "bth/dispatch/target_registry.h"
@@ -24,6 +27,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -45,12 +49,16 @@
     std::vector<entry_host> entry_hosts;
 };
 
-// An update that is due for an entry host.
+// An update that is due for an entry host, as for encode_parts().
 struct due_update {
     std::string recipient;
-    update body;
+    update own;
+    // The encoded part that other recipients get as well; null if there is none.
+    std::shared_ptr<const std::string> shared;
 };
 
+std::string encode(const due_update& due);
+
 class attachment_table {
 public:
     // Smallest time between two versions of a region's list of entry hosts.
@@ -84,8 +92,8 @@
     // Returns the updates that are due, and counts them as sent.
     std::vector<due_update> due_updates(time_point now, const control_view& view);
     // The same for one entry host only.
-    std::optional<update> due_update_of(time_point now, const std::string& name,
-                                        const control_view& view);
+    std::optional<due_update> due_update_of(time_point now, const std::string& name,
+                                            const control_view& view);
 
 private:
     struct row {
@@ -106,10 +114,26 @@
         std::vector<entry_host> hosts;
     };
 
+    // What the shared part of an update holds.
+    struct shared_key {
+        // The configuration, none if 0.
+        route::config_version text;
+        // The changes of the catalog between these revisions, none if they are equal.
+        catalog_revision targets_since;
+        catalog_revision targets;
+        // The list of a region, none if the version is 0.
+        std::string region;
+        std::uint64_t list{};
+        friend auto operator<=>(const shared_key&, const shared_key&) = default;
+    };
+
     std::string_view region_of(const std::string& domain) const;
+    // Returns the encoded shared part; null if it would be empty.
+    std::shared_ptr<const std::string> shared_part(const shared_key& key, const control_view& view);
     // Makes the lists of the regions that changed anew, where their interval allows it.
     void refresh_lists(time_point now, const std::vector<entry_host>& all_hosts);
-    std::optional<update> make_update(time_point now, row& recipient, const control_view& view);
+    std::optional<due_update> make_update(time_point now, row& recipient,
+                                          const control_view& view);
     // Whether the recipient should move to another control host before it gets any data.
     bool is_to_be_redirected(time_point now, const row& recipient, const control_view& view) const;
 
@@ -118,6 +142,7 @@
     dispatch::domain_regions regions;
     std::map<std::string, row> rows;
     std::map<std::string, neighbour_list, std::less<>> lists;
+    std::map<shared_key, std::shared_ptr<const std::string>> shared_parts;
 };
 
 } // namespace bth::fleet
--- a/bth/fleet/attachment_table_test.cpp
+++ b/bth/fleet/attachment_table_test.cpp
@@ -25,6 +25,11 @@
     return {std::move(name), {{}, 80}, domain, ready, {}};
 }
 
+update received(const due_update& due)
+{
+    return std::get<update>(*decode(encode(due)));
+}
+
 // What a control host in the domain "n1" knows.
 struct fixture {
     attachment_table attached{"c1", "n1", regions};
@@ -50,6 +55,12 @@
                 this->connected,
                 this->in_service};
     }
+    // The update that an entry host would receive now.
+    std::optional<update> update_of(time_point now, const std::string& name)
+    {
+        const auto due = this->attached.due_update_of(now, name, this->view());
+        return due ? std::optional{received(*due)} : std::nullopt;
+    }
     // A report of a host that holds nothing.
     attachment_table::report_result report_of(time_point now, const entry_host& from)
     {
@@ -77,7 +88,7 @@
     const auto entry = host(1, "n1", false);
     at.in_service = {entry};
     CHECK_TRUE(at.report_of(start, entry).is_new);
-    const auto body = at.attached.due_update_of(start, entry.name, at.view());
+    const auto body = at.update_of(start, entry.name);
     CHECK_TRUE(body.has_value());
     STRCMP_EQUAL("configuration", body->text.c_str());
     LONGS_EQUAL(1, body->targets.changed.size());
@@ -93,7 +104,7 @@
     const auto entry = host(1, "n2", false);
     at.in_service = {entry};
     at.report_of(start, entry);
-    const auto body = at.attached.due_update_of(start, entry.name, at.view());
+    const auto body = at.update_of(start, entry.name);
     CHECK_TRUE(body.has_value());
     LONGS_EQUAL(3, body->control_hosts.size());
     STRCMP_EQUAL("", body->text.c_str());
@@ -103,7 +114,7 @@
     CHECK_FALSE(body->entry_hosts.has_value());
     // It couldn't reach that control host and stays here.
     at.report_of(start + 900ms, entry);
-    const auto later = at.attached.due_update_of(start + 1000ms, entry.name, at.view());
+    const auto later = at.update_of(start + 1000ms, entry.name);
     CHECK_TRUE(later.has_value());
     STRCMP_EQUAL("configuration", later->text.c_str());
     LONGS_EQUAL(1, later->targets.changed.size());
@@ -116,7 +127,7 @@
     const auto entry = host(1, "n2", false);
     at.in_service = {entry};
     at.report_of(start, entry);
-    const auto body = at.attached.due_update_of(start, entry.name, at.view());
+    const auto body = at.update_of(start, entry.name);
     STRCMP_EQUAL("configuration", body->text.c_str());
     LONGS_EQUAL(1, body->targets.changed.size());
 }
@@ -142,10 +153,11 @@
             at.full_report_of(now, each);
         }
         for (const auto& due : at.attached.due_updates(now, at.view())) {
-            if (due.body.entry_hosts) {
+            const auto body = received(due);
+            if (body.entry_hosts) {
                 ++lists.at(static_cast<std::size_t>(std::stoi(due.recipient.substr(1)) - 1000));
-                rows_of_last = due.body.entry_hosts->size();
-                CHECK_TRUE(due.body.entry_hosts->front().ready || now < start + 1s);
+                rows_of_last = body.entry_hosts->size();
+                CHECK_TRUE(body.entry_hosts->front().ready || now < start + 1s);
             }
         }
     }
@@ -155,13 +167,35 @@
     }
 }
 
+// 90 entry hosts attach to a control host that has read a list of 1,200 targets.
+TEST(attachment_table, what_many_hosts_lack_is_encoded_once)
+{
+    fixture at;
+    std::vector<bth::dispatch::target_info> targets(1200);
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        targets[i].id = "target-" + std::to_string(i);
+    }
+    at.catalog.record_reading(targets, start + 1ms);
+    for (int i = 0; i < 90; ++i) {
+        at.in_service.push_back(host(i, "n1", false));
+        at.report_of(start + 1ms, at.in_service.back());
+    }
+    const auto due = at.attached.due_updates(start + 1ms, at.view());
+    LONGS_EQUAL(90, due.size());
+    for (const auto& each : due) {
+        POINTERS_EQUAL(due.front().shared.get(), each.shared.get());
+    }
+    LONGS_EQUAL(1200, received(due.front()).targets.changed.size());
+    LONGS_EQUAL(89, received(due.back()).entry_rank);
+}
+
 TEST(attachment_table, hosts_of_another_region_are_left_out)
 {
     fixture at;
     const auto entry = host(1, "n1", true);
     at.in_service = {entry, host(2, "s1", true)};
     at.report_of(start, entry);
-    const auto body = at.attached.due_update_of(start, entry.name, at.view());
+    const auto body = at.update_of(start, entry.name);
     LONGS_EQUAL(1, body->entry_hosts->size());
     LONGS_EQUAL(2, body->entry_count);
     LONGS_EQUAL(0, body->entry_rank);
--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -82,7 +82,7 @@
       callbacks{std::move(callbacks)}, events{&events}, group{std::move(group)},
       link{std::make_shared<shell::peer_link>(
           context.get_executor(), shell::peer_link_settings{this->name, incarnation_number})},
-      timer{context}, registry{this->settings.regions}, attached{this->name, this->settings.domain,
+      timer{context}, registry{this->settings.regions}, lookup_turn{this->settings.address.bits}, attached{this->name, this->settings.domain,
                                                                  this->settings.regions}
 {
     this->control_domains[this->name] = this->settings.domain;
@@ -202,9 +202,9 @@
         operation_outcome::done, std::nullopt, {}, this->group->machine().state().text};
 }
 
-std::vector<endpoint> control_host::resolve(const std::string& region) const
+std::vector<endpoint> control_host::resolve(const std::string& region, std::size_t limit)
 {
-    return this->registry.resolve(region, shell::monotonic_now());
+    return this->registry.resolve(region, shell::monotonic_now(), limit, this->lookup_turn++);
 }
 
 control_host::host_status control_host::status() const
@@ -257,8 +257,8 @@
     this->registry.record_hosts(this->name, this->attached.hosts(now), now);
     this->relays.request();
     // The others follow with the next step, together with those of the same time.
-    if (const auto body = this->attached.due_update_of(now, from.name, this->make_view(now))) {
-        this->send_update(from.name, *body);
+    if (const auto due = this->attached.due_update_of(now, from.name, this->make_view(now))) {
+        this->send_update(*due);
     }
 }
 
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -98,8 +98,9 @@
     boost::asio::awaitable<operation_result> read_configuration();
     // Commits that a failure domain is evacuated or not. `invalid` if the domain is unknown.
     boost::asio::awaitable<operation_result> set_evacuated(std::string domain, bool evacuated);
-    // Returns where a caller in that region should connect; empty if no ready entry host is known.
-    std::vector<endpoint> resolve(const std::string& region) const;
+    // Returns where a caller in that region should connect, at most `limit` endpoints; empty if no
+    // ready entry host is known.
+    std::vector<endpoint> resolve(const std::string& region, std::size_t limit);
 
     struct host_status {
         bool is_leader{};
@@ -141,7 +142,7 @@
     void send_relay(time_point now, bool include_list, const std::optional<std::string>& only_to);
     // Sends the updates that are due to all attached entry hosts, or to one of them.
     void send_updates(time_point now);
-    void send_update(const std::string& host, const update& body);
+    void send_update(const due_update& due);
     control_view make_view(time_point now) const;
     // Whether this host is in contact with the others; see update::in_contact.
     bool in_contact(time_point now) const;
@@ -157,6 +158,8 @@
     boost::asio::steady_timer timer;
     target_catalog catalog;
     entry_host_registry registry;
+    // Counts the answers to look-ups, from a number that differs between hosts.
+    std::size_t lookup_turn;
     attachment_table attached;
     // The failure domain of each control host that sent a relay, and of this one.
     std::map<std::string, std::string> control_domains;
--- a/bth/fleet/control_host_updates.cpp
+++ b/bth/fleet/control_host_updates.cpp
@@ -78,16 +78,16 @@
 void control_host::send_updates(time_point now)
 {
     for (const auto& due : this->attached.due_updates(now, this->make_view(now))) {
-        this->send_update(due.recipient, due.body);
+        this->send_update(due);
     }
 }
 
-void control_host::send_update(const std::string& host, const update& body)
+void control_host::send_update(const due_update& due)
 {
-    const auto bytes = encode(body);
-    if (!this->link->send(host, wire::frame_kind::membership, as_bytes(bytes))) {
+    const auto bytes = encode(due);
+    if (!this->link->send(due.recipient, wire::frame_kind::membership, as_bytes(bytes))) {
         // Its first report on a new connection shows what it missed.
-        this->attached.detach(host);
+        this->attached.detach(due.recipient);
     }
 }
 
--- a/bth/fleet/messages.cpp
+++ b/bth/fleet/messages.cpp
@@ -4,6 +4,7 @@
 #include "bth/fleet/internal/fleet_generated.h"
 
 #include <algorithm>
+#include <climits>
 #include <memory>
 #include <utility>
 
@@ -15,6 +16,9 @@
 // typical reports and updates are too short to gain from it.
 constexpr char plain_marker = 'p';
 constexpr char deflated_marker = 'd';
+// Marks an update in two parts: the size of the shared part, that part, and the recipient's own.
+constexpr char parts_marker = 's';
+constexpr std::size_t part_size_bytes = 4;
 constexpr std::size_t min_deflated_bytes = 600;
 constexpr std::size_t max_inflated_bytes = std::size_t{64} * 1024 * 1024;
 
@@ -284,6 +288,42 @@
     return std::nullopt;
 }
 
+// Decodes one part of an update, which isn't made of parts itself.
+std::optional<update> decode_part(std::string_view bytes)
+{
+    if (bytes.empty() || bytes.front() == parts_marker) {
+        return std::nullopt;
+    }
+    auto decoded = decode(bytes);
+    auto* part = decoded ? std::get_if<update>(&*decoded) : nullptr;
+    return part == nullptr ? std::nullopt : std::optional{std::move(*part)};
+}
+
+std::optional<message> decode_parts(std::string_view bytes)
+{
+    if (bytes.size() < part_size_bytes) {
+        return std::nullopt;
+    }
+    std::size_t shared_size = 0;
+    for (std::size_t i = 0; i < part_size_bytes; ++i) {
+        shared_size |= std::size_t{static_cast<unsigned char>(bytes[i])} << (CHAR_BIT * i);
+    }
+    bytes.remove_prefix(part_size_bytes);
+    if (shared_size > bytes.size()) {
+        return std::nullopt;
+    }
+    auto shared = decode_part(bytes.substr(0, shared_size));
+    auto joined = decode_part(bytes.substr(shared_size));
+    if (!shared || !joined) {
+        return std::nullopt;
+    }
+    joined->text = std::move(shared->text);
+    shared->targets.revision = joined->targets.revision;
+    joined->targets = std::move(shared->targets);
+    joined->entry_hosts = std::move(shared->entry_hosts);
+    return std::move(*joined);
+}
+
 } // namespace
 
 std::string encode(const message& to_encode)
@@ -300,6 +340,16 @@
     return std::string{deflated_marker} + deflate(plain);
 }
 
+std::string encode_parts(std::string_view shared, const update& own)
+{
+    std::string out{parts_marker};
+    for (std::size_t i = 0; i < part_size_bytes; ++i) {
+        out += static_cast<char>((shared.size() >> (CHAR_BIT * i)) & UCHAR_MAX);
+    }
+    out += shared;
+    return out + encode(own);
+}
+
 std::optional<message> decode(std::string_view bytes)
 {
     if (bytes.empty()) {
@@ -307,6 +357,9 @@
     }
     const char marker = bytes.front();
     bytes.remove_prefix(1);
+    if (marker == parts_marker) {
+        return decode_parts(bytes);
+    }
     if (marker == plain_marker) {
         return decode_plain(bytes);
     }
--- a/bth/fleet/messages.h
+++ b/bth/fleet/messages.h
@@ -127,6 +127,11 @@
 
 std::string encode(const message& to_encode);
 
+// Encodes an update from two parts. `shared` is an encoded update of which only the text, the
+// targets and the entry hosts count; many recipients get the same, so it is encoded once for all of
+// them. `own` holds everything else, and the revision of the targets. Decoding joins the parts.
+std::string encode_parts(std::string_view shared, const update& own);
+
 // Returns nothing if the bytes aren't a well-formed message.
 std::optional<message> decode(std::string_view bytes);
 
--- a/bth/fleet/messages_test.cpp
+++ b/bth/fleet/messages_test.cpp
@@ -56,6 +56,34 @@
     LONGS_EQUAL(8, received.entry_rank);
 }
 
+TEST(fleet_messages, an_update_in_two_parts_is_joined)
+{
+    update shared;
+    shared.text = "text";
+    shared.targets = {true, catalog_revision{5}, {facts}, {"b"}};
+    shared.entry_hosts = {host};
+    update own;
+    own.version = config_version{4};
+    own.entry_rank = 8;
+    own.targets.revision = catalog_revision{6};
+    const auto bytes = encode_parts(encode(shared), own);
+    const auto decoded = decode(bytes);
+    const auto& received = std::get<update>(*decoded);
+    LONGS_EQUAL(4, received.version.value());
+    LONGS_EQUAL(8, received.entry_rank);
+    STRCMP_EQUAL("text", received.text.c_str());
+    LONGS_EQUAL(6, received.targets.revision.value());
+    CHECK_TRUE(received.targets.is_full);
+    CHECK_TRUE(received.targets.changed == shared.targets.changed);
+    CHECK_TRUE(received.entry_hosts == shared.entry_hosts);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        decode(std::string_view{bytes}.substr(0, size));
+    }
+    CHECK_FALSE(decode(std::string_view{bytes}.substr(0, 20)).has_value());
+    CHECK_FALSE(decode(encode_parts(bytes, own)).has_value());
+    CHECK_FALSE(decode(encode_parts(encode(report{}), own)).has_value());
+}
+
 TEST(fleet_messages, an_empty_and_an_absent_set_of_evacuations_differ)
 {
     update none;
--- a/bth/fleet/registry.cpp
+++ b/bth/fleet/registry.cpp
@@ -1,6 +1,7 @@
 #include "bth/fleet/registry.h"
 
 #include <algorithm>
+#include <set>
 
 namespace bth::fleet {
 
@@ -45,21 +46,44 @@
     return out;
 }
 
-std::vector<endpoint> entry_host_registry::resolve(std::string_view region, time_point now) const
+std::vector<endpoint> entry_host_registry::resolve(std::string_view region, time_point now,
+                                                   std::size_t limit, std::size_t turn) const
 {
     std::vector<endpoint> in_region;
-    std::vector<endpoint> all;
+    std::vector<endpoint> elsewhere;
     for (const auto& each : this->in_service(now)) {
-        if (!each.ready) {
-            continue;
+        if (each.ready) {
+            const auto host_region = this->regions.find(each.domain);
+            const bool is_local =
+                host_region != this->regions.end() && host_region->second == region;
+            (is_local ? in_region : elsewhere).push_back(each.caller_endpoint);
         }
-        all.push_back(each.caller_endpoint);
-        const auto host_region = this->regions.find(each.domain);
-        if (host_region != this->regions.end() && host_region->second == region) {
-            in_region.push_back(each.caller_endpoint);
+    }
+    const auto part = (in_region.size() + elsewhere.size()) / this->region_count();
+    const auto first = [turn](const std::vector<endpoint>& hosts, std::size_t count,
+                              std::vector<endpoint>& out) {
+        for (std::size_t i = 0; i < std::min(count, hosts.size()); ++i) {
+            out.push_back(hosts[(turn + i) % hosts.size()]);
         }
+    };
+    std::vector<endpoint> out;
+    first(in_region, limit, out);
+    if (in_region.empty()) {
+        first(elsewhere, limit, out);
+    }
+    else if (in_region.size() * 2 < part) {
+        first(elsewhere, std::min(part, limit) - std::min(in_region.size(), limit), out);
+    }
+    return out;
+}
+
+std::size_t entry_host_registry::region_count() const
+{
+    std::set<std::string_view> names;
+    for (const auto& [domain, region] : this->regions) {
+        names.insert(region);
     }
-    return in_region.empty() ? all : in_region;
+    return std::max<std::size_t>(names.size(), 1);
 }
 
 } // namespace bth::fleet
--- a/bth/fleet/registry.h
+++ b/bth/fleet/registry.h
@@ -5,12 +5,13 @@
 //
 //   entry_host_registry registry{regions};
 //   registry.record_hosts("control-a", rows, now);
-//   auto endpoints = registry.resolve("north", now);
+//   auto endpoints = registry.resolve("north", now, 64, turn++);
 #pragma once
 
 #include "bth/dispatch/target_registry.h"
 #include "bth/fleet/messages.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -32,9 +33,17 @@
     // Returns the entry hosts that were seen recently, one row each, ordered by name.
     std::vector<entry_host> in_service(time_point now) const;
 
-    // Returns where a caller in `region` should connect: the ready hosts of that region, or all
-    // ready hosts if there are none. Empty if no ready host is known.
-    std::vector<endpoint> resolve(std::string_view region, time_point now) const;
+    // Returns where a caller in `region` should connect: at most `limit` ready hosts of that region.
+    // If less than half of a region's part of the ready hosts is left there, as after the loss of a
+    // failure domain or while its hosts restart, ready hosts of other regions are added up to that
+    // part, so that the callers of a whole region don't overload the few hosts. Empty if no ready
+    // host is known.
+    //
+    // `turn` is a number that differs from one answer to the next. A region may have more hosts than
+    // an answer names, and callers keep an answer for a while, so each answer begins with another
+    // host.
+    std::vector<endpoint> resolve(std::string_view region, time_point now, std::size_t limit,
+                                  std::size_t turn) const;
 
 private:
     struct seen_host {
@@ -42,6 +51,8 @@
         time_point last_seen;
     };
 
+    std::size_t region_count() const;
+
     dispatch::domain_regions regions;
     std::map<std::string, std::vector<seen_host>> hosts_by_source;
 };
