Read the list of targets by the drain time, and by voters only

Control hosts that weren't admitted yet all read by themselves, and after a start of all hosts so did every voter at once.

Change: the drain time is told by the settings (drain_time_s). The leader reads every 40% of it, which leaves 60% for the reading itself and for the way to all hosts; a voter takes over after 63 to 83%, by its rank among the voters that it is connected to; others never read. A control host counts as out of contact after five sixths instead of a fixed 2.5 s, which is the same where the drain time is 3 s.

--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -91,6 +91,7 @@
 tl::expected<void, std::string> control_host::start()
 {
     const auto self = shared_from_this();
+    this->started_at = shell::monotonic_now();
     this->link->on_frame(wire::frame_kind::membership, [this](const auto& from, auto payload) {
         return this->receive(from, payload);
     });
@@ -345,10 +346,7 @@
         this->refresh_peers(group_status);
         this->update_membership(group_status, now);
         this->expire_attached_hosts(now);
-        const duration list_age = this->catalog.was_read() ? now - this->catalog.read_at()
-                                                           : duration{std::chrono::hours{1}};
-        if (!this->list_read_in_flight &&
-            should_read_list({this->is_leader, this->own_rank(group_status), list_age})) {
+        if (!this->list_read_in_flight && this->is_list_reading_due(group_status, now)) {
             this->list_read_in_flight = true;
             asio::co_spawn(
                 *this->context, [self = shared_from_this()] { return self->read_list(); },
@@ -443,13 +441,21 @@
     }
 }
 
-// Returns the rank of this host among the voters, ordered by name, from 0.
-std::uint32_t control_host::own_rank(const consensus::replica_status& group_status) const
+bool control_host::is_list_reading_due(const consensus::replica_status& group_status,
+                                       time_point now) const
 {
     const auto& voters = group_status.members.voters;
-    const auto smaller = std::count_if(voters.begin(), voters.end(),
-                                       [this](const auto& each) { return each.host < this->name; });
-    return static_cast<std::uint32_t>(smaller);
+    const auto smaller =
+        std::count_if(voters.begin(), voters.end(), [this](const auto& each) {
+            return each.host < this->name && this->link->connected(each.host);
+        });
+    const auto age = this->catalog.was_read()
+                         ? now - this->catalog.read_at()
+                         : age_before_first_reading(now - this->started_at,
+                                                    this->settings.drain_time);
+    return should_read_list({this->is_leader, is_voter(group_status.members, group_status.self),
+                             static_cast<std::uint32_t>(smaller), age,
+                             this->settings.drain_time});
 }
 
 asio::awaitable<void> control_host::read_list()
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -49,6 +49,8 @@
     // Whether the whole fleet starts for the first time.
     bool first_start{};
     dispatch::domain_regions regions;
+    // Time after which no more requests may be sent to a target that the list shows as leaving.
+    duration drain_time{};
 };
 
 // All targets on the platform's list, or one sentence that says what failed.
@@ -146,7 +148,7 @@
     control_view make_view(time_point now) const;
     // Whether this host is in contact with the others; see update::in_contact.
     bool in_contact(time_point now) const;
-    std::uint32_t own_rank(const consensus::replica_status& group_status) const;
+    bool is_list_reading_due(const consensus::replica_status& group_status, time_point now) const;
 
     boost::asio::io_context* context;
     control_host_settings settings;
@@ -173,6 +175,7 @@
     bool is_leader{};
     relay_schedule relays;
     bool list_read_in_flight{};
+    time_point started_at;
     bool stopping{};
 };
 
--- a/bth/fleet/control_host_updates.cpp
+++ b/bth/fleet/control_host_updates.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// An older reading means that neither this host nor any control host that sends it relays can read
-// the list.
-constexpr std::chrono::milliseconds max_list_age{2500};
-
 wire::byte_view as_bytes(const std::string& text)
 {
     return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
@@ -51,6 +47,9 @@
 
 bool control_host::in_contact(time_point now) const
 {
+    // An older reading means that neither this host nor any control host that sends it relays can
+    // read the list; see should_read_list().
+    const duration max_list_age = this->settings.drain_time * 5 / 6;
     return this->leader.has_value() && this->catalog.was_read() &&
            now - this->catalog.read_at() < max_list_age;
 }
--- a/bth/fleet/list_reading.h
+++ b/bth/fleet/list_reading.h
@@ -1,11 +1,18 @@
 // Decides which control host reads the platform's list of targets. Each control host decides by
 // itself, from what it knows.
 //
-//   if (should_read_list({is_leader, rank, age_of_the_list})) { ... }
+//   if (should_read_list({is_leader, is_voter, rank, age_of_the_list, drain_time})) { ... }
+//
+// This serves a list whose calls are limited and priced for all hosts together, and whose readings
+// take longer the more targets there are: a thousand targets are 25 calls, one after another. The
+// list is read as rarely as the time allows within which no more requests may be sent to a target
+// that is leaving: the interval between two readings, the time that one takes, and the time until
+// all hosts know it must fit in.
 #pragma once
 
 #include "bth/base/time.h"
 
+#include <algorithm>
 #include <cstdint>
 
 namespace bth::fleet {
@@ -13,24 +20,43 @@
 // What a control host knows when it decides whether to read the list.
 struct list_reading_state {
     bool is_leader{};
-    // Rank of this host among the control hosts, ordered by name, from 0.
+    // Whether this host is a voter of the group. Others don't read: before they are admitted there
+    // may be any number of them, and then the group relays the list to them.
+    bool is_voter{};
+    // Rank of this host among the voters that it is connected to, ordered by name, from 0.
     std::uint32_t rank{};
     // Age of the newest reading that this host has, its own or a relayed one.
     duration list_age{};
+    // Time after which no more requests may be sent to a target that the list shows as leaving.
+    duration drain_time{};
 };
 
-// Returns whether this host should read the list now. The leader reads often enough that a leaving
-// target is known within a second. The rate of list calls is limited for all hosts together, so the
-// other control hosts read only if readings of the leader stop, one after another by rank.
+// Returns whether this host should read the list now. If readings of the leader stop, the other
+// voters read one after another by rank; the first that succeeds relays its reading to the rest.
 constexpr bool should_read_list(const list_reading_state& state)
 {
-    constexpr std::chrono::milliseconds leader_read_interval{600};
-    constexpr std::chrono::milliseconds follower_delay{1200};
-    constexpr std::chrono::milliseconds follower_delay_per_rank{150};
+    // Fractions of the drain time, in percent. The last voter to take over from a lost leader reads
+    // early enough to leave a sixth of the time for its reading.
+    constexpr int leader_interval = 40;
+    constexpr int first_follower_delay = 63;
+    constexpr int delay_per_rank = 5;
+    constexpr int last_follower_delay = 83;
+    constexpr int percent = 100;
     if (state.is_leader) {
-        return state.list_age >= leader_read_interval;
+        return state.list_age >= state.drain_time * leader_interval / percent;
     }
-    return state.list_age >= follower_delay + follower_delay_per_rank * state.rank;
+    const int delay = first_follower_delay +
+                      delay_per_rank * static_cast<int>(std::min<std::uint32_t>(state.rank, percent));
+    return state.is_voter &&
+           state.list_age >= state.drain_time * std::min(delay, last_follower_delay) / percent;
+}
+
+// Returns the age that a list which was never read counts as, a time `running` after the start of
+// the process: the first voter reads a moment after it is connected to the others, so that not all
+// of them read when all hosts start together.
+constexpr duration age_before_first_reading(duration running, duration drain_time)
+{
+    return drain_time / 2 + running;
 }
 
 } // namespace bth::fleet
--- a/process_tests/platform_fleet.py
+++ b/process_tests/platform_fleet.py
@@ -53,7 +53,7 @@
                           for row in range(len(DOMAINS))],
                 "target_list": self.listing.endpoint,
                 "limits": {"retry_ratio": 0.2, "retry_slack": 58, "retry_window_s": 10,
-                           "cold_factor": 1.5, "cold_slack": 5, "look_up_ttl_s": 1,
+                           "cold_factor": 1.5, "cold_slack": 5, "look_up_ttl_s": 1, "drain_time_s": 3,
                            "stop_grace_s": 6}, **more}
 
     def start_control(self, domain, row, first=False):
