Connect entry hosts to each other on demand

Cause: each entry host kept a connection to every other one of its region, made when the control host first named it. Requests are forwarded only to owners of cold targets.

Change: a host is connected when the first request is forwarded to it, and for 15 s after the last message. A request waits 150 ms for the connection and is placed elsewhere then; the host isn't used for 2 s after that.

--- a/bth/fleet/entry_agent.cpp
+++ b/bth/fleet/entry_agent.cpp
@@ -82,6 +82,14 @@
     this->held_index = agreed;
 }
 
+void entry_agent::use_entry_host(const std::string& host)
+{
+    this->neighbours.record_use(shell::monotonic_now(), host);
+    if (!this->link->connected(host)) {
+        this->connect_peers();
+    }
+}
+
 bool entry_agent::receive(const shell::peer_identity& from, wire::byte_view payload)
 {
     const auto received = decode({reinterpret_cast<const char*>(payload.data()), payload.size()});
@@ -104,7 +112,6 @@
     if (this->neighbours.apply_reported(received_update->in_contact)) {
         passed_update.entry_hosts = this->neighbours.hosts();
     }
-    this->connect_peers();
     this->on_update(passed_update);
     return true;
 }
@@ -119,6 +126,7 @@
     if (now - this->last_report_at >= report_interval) {
         this->send_report();
     }
+    this->connect_peers();
     this->timer.expires_after(selection_interval);
     this->timer.async_wait([self = shared_from_this()](const auto& error) {
         if (!error && !self->stopping) {
@@ -140,7 +148,7 @@
     this->connect_peers();
 }
 
-// Keeps connections to the selected control host and to the entry hosts of the region.
+// Keeps connections to the selected control host and to the entry hosts in use.
 void entry_agent::connect_peers()
 {
     auto peers = this->neighbours.hosts_to_connect(shell::monotonic_now());
@@ -153,9 +161,8 @@
     for (const auto& each : peers) {
         const auto address = parse_ipv4_address(each);
         if (address && each != this->name) {
-            // The control host doesn't know this host and won't dial it, so dial immediately.
-            addresses.push_back(
-                {each, {*address, this->settings.peer_port}, each == this->selector.current()});
+            // The other side doesn't know that a connection is needed and won't dial.
+            addresses.push_back({each, {*address, this->settings.peer_port}, true});
         }
     }
     this->link->set_peers(addresses);
--- a/bth/fleet/entry_agent.h
+++ b/bth/fleet/entry_agent.h
@@ -46,9 +46,12 @@
     tl::expected<void, std::string> start();
     void stop();
 
-    // The link to the control host and to the entry hosts of the region.
+    // The link to the control host and to the entry hosts that are in use.
     const std::shared_ptr<shell::peer_link>& peer_link() const { return this->link; }
 
+    // Connects to another entry host, or keeps the connection to it; see neighbour_table.
+    void use_entry_host(const std::string& host);
+
     // Sets whether callers should be directed to this host.
     void set_ready(bool ready);
     // Sets the versions that this host holds, so that they aren't sent again.
--- a/bth/fleet/neighbours.h
+++ b/bth/fleet/neighbours.h
@@ -3,11 +3,15 @@
 //   neighbour_table table;
 //   table.record_reported(reported_hosts);
 //   if (table.apply_reported(in_contact)) { use(table.hosts()); }
+//   table.record_use(now, "10.1.0.7");
 //   connect_to(table.hosts_to_connect(now));
 //
 // A control host without a leader knows only some of the entry hosts, so the hosts that it reports
-// are applied only once it is in contact with the other control hosts. A host that is no longer
-// reported stays connected for a while, since requests forwarded to it may be in flight.
+// are applied only once it is in contact with the other control hosts.
+//
+// Hosts are connected when they are needed, and for a while after. A region may have a hundred entry
+// hosts, of which each forwards requests to few: connections among all of them would cost each host
+// more processor time and memory the more hosts there are, most of all when all of them start.
 #pragma once
 
 #include "bth/fleet/messages.h"
@@ -43,21 +47,21 @@
 
     const std::vector<entry_host>& hosts() const { return this->current; }
 
-    // Returns the names of the hosts to stay connected to: the known ones, and those that were
-    // known within the retention time.
+    // Records that a connection to a host is needed, or that a message went over it.
+    void record_use(time_point now, const std::string& name) { this->last_used_at[name] = now; }
+
+    // Returns the names of the hosts to stay connected to, ordered.
     std::vector<std::string> hosts_to_connect(time_point now)
     {
-        // Longer than any request takes, so that no forwarded request loses its connection.
+        // While a forwarded request is in flight, messages go over its connection several times a
+        // second. The rest keeps connections for the next burst of requests to cold targets.
         constexpr std::chrono::seconds connection_retention{15};
-        for (const auto& each : this->current) {
-            this->last_known_at[each.name] = now;
-        }
-        std::erase_if(this->last_known_at, [oldest = now - connection_retention](const auto& each) {
+        std::erase_if(this->last_used_at, [oldest = now - connection_retention](const auto& each) {
             return each.second < oldest;
         });
         std::vector<std::string> out;
-        out.reserve(this->last_known_at.size());
-        for (const auto& [name, known_at] : this->last_known_at) {
+        out.reserve(this->last_used_at.size());
+        for (const auto& [name, used_at] : this->last_used_at) {
             out.push_back(name);
         }
         return out;
@@ -66,7 +70,7 @@
 private:
     std::optional<std::vector<entry_host>> reported;
     std::vector<entry_host> current;
-    std::map<std::string, time_point> last_known_at;
+    std::map<std::string, time_point> last_used_at;
 };
 
 } // namespace bth::fleet
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -174,11 +174,12 @@
                                  this->events->left_out()});
 }
 
-void gateway::enable_forwarding(std::shared_ptr<shell::peer_link> link)
+void gateway::enable_forwarding(std::shared_ptr<shell::peer_link> link,
+                                request_forwarder::use_handler use_host)
 {
     const std::weak_ptr<gateway> weak = weak_from_this();
     this->forwarder = std::make_shared<request_forwarder>(
-        *this->context, std::move(link), *this->events,
+        *this->context, std::move(link), std::move(use_host), *this->events,
         [weak](std::shared_ptr<const handoff_request> handoff,
                std::shared_ptr<send_control> control) {
             return weak.lock()->serve_handoff(std::move(handoff), std::move(control));
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -83,8 +83,9 @@
     boost::asio::awaitable<caller_response> serve(std::shared_ptr<served_request> request);
 
     // Starts to forward requests to the owners of their targets over `link`, and to serve those
-    // that other hosts forward to this one.
-    void enable_forwarding(std::shared_ptr<shell::peer_link> link);
+    // that other hosts forward to this one. `use_host` connects the link to a host.
+    void enable_forwarding(std::shared_ptr<shell::peer_link> link,
+                           request_forwarder::use_handler use_host);
     // Returns the number of requests in flight that other hosts forwarded to this one.
     std::size_t forwarded_in_flight() const
     {
--- a/bth/gateway/request_forwarder.cpp
+++ b/bth/gateway/request_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "bth/shell/net.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 #include <vector>
@@ -25,14 +26,20 @@
 constexpr std::chrono::milliseconds peer_check_interval{100};
 // Interval of pings to an unresponsive host; two per second detect its recovery soon enough.
 constexpr std::chrono::milliseconds reping_interval{500};
+// A host of the same region accepts a connection within a few milliseconds, unless it is starved of
+// CPU time. A request that waits longer is better sent to another target.
+constexpr std::chrono::milliseconds connect_timeout{150};
+// Time for which a host that couldn't be connected is unusable. Control hosts report a host that is
+// gone for about as long.
+constexpr std::chrono::milliseconds unreachable_time{2000};
 
 } // namespace
 
 request_forwarder::request_forwarder(asio::io_context& context,
-                                     std::shared_ptr<shell::peer_link> link,
+                                     std::shared_ptr<shell::peer_link> link, use_handler use_host,
                                      shell::event_log& events, request_handler serve)
-    : context{&context}, link{std::move(link)}, events{&events}, serve{std::move(serve)},
-      timer{context}
+    : context{&context}, link{std::move(link)}, use_host{std::move(use_host)}, events{&events},
+      serve{std::move(serve)}, timer{context}
 {}
 
 void request_forwarder::start()
@@ -58,7 +65,33 @@
 bool request_forwarder::is_usable(const std::string& host) const
 {
     const auto peer = this->peers.find(host);
-    return peer != this->peers.end() && !peer->second.unresponsive && this->link->connected(host);
+    if (peer != this->peers.end() && this->link->connected(host)) {
+        return !peer->second.unresponsive;
+    }
+    const auto failed = this->unreachable_since.find(host);
+    return failed == this->unreachable_since.end() ||
+           shell::monotonic_now() - failed->second > unreachable_time;
+}
+
+asio::awaitable<bool> request_forwarder::connect(std::string host)
+{
+    const auto self = shared_from_this();
+    this->use_host(host);
+    if (this->link->connected(host)) {
+        co_return true;
+    }
+    const auto limit = std::make_shared<asio::steady_timer>(*this->context);
+    limit->expires_after(connect_timeout);
+    const auto waiting = this->connecting.emplace(host, limit);
+    boost::system::error_code error;
+    co_await limit->async_wait(asio::redirect_error(asio::use_awaitable, error));
+    this->connecting.erase(waiting);
+    const bool connected = this->link->connected(host);
+    if (!connected) {
+        this->unreachable_since[host] = shell::monotonic_now();
+        this->events->write(shell::event{"owner_unreachable"}.with("host", host));
+    }
+    co_return connected;
 }
 
 bool request_forwarder::send(const std::string& to, const handoff_message& message)
@@ -76,7 +109,8 @@
     request.id = this->next_id++;
     const auto id = request.id;
     const handoff_message message{std::move(request)};
-    if (!this->send(host, message)) {
+    const bool connected = co_await this->connect(host);
+    if (!connected || control->aborted() || !this->send(host, message)) {
         co_return std::nullopt;
     }
     const auto pending_entry = std::make_shared<pending_forward>(*this->context);
@@ -115,6 +149,7 @@
     }
     auto& peer = this->peers[from.name];
     peer.last_received = shell::monotonic_now();
+    this->use_host(from.name);
     if (std::exchange(peer.unresponsive, false)) {
         this->events->write(shell::event{"owner_heard_again"}.with("host", from.name));
     }
@@ -170,6 +205,9 @@
 {
     if (connected) {
         this->peers[peer.name] = {shell::monotonic_now(), {}, false};
+        this->unreachable_since.erase(peer.name);
+        const auto [first, last] = this->connecting.equal_range(peer.name);
+        std::for_each(first, last, [](const auto& waiting) { waiting.second->cancel(); });
         return;
     }
     this->peers.erase(peer.name);
--- a/bth/gateway/request_forwarder.h
+++ b/bth/gateway/request_forwarder.h
@@ -1,14 +1,15 @@
 // Forwards requests to the owners of their targets, and serves the requests that other hosts
 // forward to this one.
 //
-//   auto forwarder = std::make_shared<request_forwarder>(context, link, events, serve);
+//   auto forwarder = std::make_shared<request_forwarder>(context, link, use_host, events, serve);
 //   forwarder->start();
 //   if (forwarder->is_usable(owner)) {
 //       auto outcome = co_await forwarder->forward(owner, request, control);
 //   }
 //
-// A host that sends nothing while forwarded requests wait for it is pinged. If it doesn't reply, it
-// is unusable until a message from it arrives.
+// A host is connected when the first request is forwarded to it. One that can't be connected is
+// unusable for a while. A host that sends nothing while forwarded requests wait for it is pinged. If
+// it doesn't reply, it is unusable until a message from it arrives.
 #pragma once
 
 #include "bth/gateway/handoff.h"
@@ -32,13 +33,17 @@
     using request_handler = std::function<boost::asio::awaitable<handoff_outcome>(
         std::shared_ptr<const handoff_request>, std::shared_ptr<send_control>)>;
 
+    // Called for a host to which the link is to be connected, or stay connected.
+    using use_handler = std::function<void(const std::string& host)>;
+
     request_forwarder(boost::asio::io_context& context, std::shared_ptr<shell::peer_link> link,
-                      shell::event_log& events, request_handler serve);
+                      use_handler use_host, shell::event_log& events, request_handler serve);
 
     void start();
     void stop();
 
-    // Returns whether requests can be forwarded to a host: it is connected and responsive.
+    // Returns whether requests may be forwarded to a host: it is responsive if it is connected, and
+    // no attempt to connect to it failed lately.
     bool is_usable(const std::string& host) const;
 
     // Forwards a request and returns the owner's reply. Returns nullopt if the request could not be
@@ -67,6 +72,8 @@
         bool unresponsive{};
     };
 
+    // Waits a moment until the host is connected. Returns whether it is.
+    boost::asio::awaitable<bool> connect(std::string host);
     bool receive(const shell::peer_identity& from, wire::byte_view payload);
     void accept_request(const std::string& from, handoff_request request);
     boost::asio::awaitable<void> serve_request(std::string from,
@@ -81,6 +88,7 @@
 
     boost::asio::io_context* context;
     std::shared_ptr<shell::peer_link> link;
+    use_handler use_host;
     shell::event_log* events;
     request_handler serve;
     boost::asio::steady_timer timer;
@@ -89,6 +97,10 @@
     // Forwarded requests in flight here, by forwarding host and its id for the request.
     std::map<std::pair<std::string, std::uint64_t>, std::shared_ptr<send_control>> serving;
     std::map<std::string, peer_state> peers;
+    // The timers of the requests that wait for a connection to a host; cancelled once it is there.
+    std::multimap<std::string, std::shared_ptr<boost::asio::steady_timer>> connecting;
+    // When the last attempt to connect to a host failed.
+    std::map<std::string, time_point> unreachable_since;
     bool stopping{};
 };
 
--- /dev/null
+++ b/bth/gateway/request_forwarder_test.cpp
@@ -0,0 +1,158 @@
+#include "bth/gateway/request_forwarder.h"
+
+#include "bth/shell/log.h"
+#include "bth/shell/net.h"
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace bth::gateway;
+namespace asio = boost::asio;
+
+bth::endpoint free_endpoint(asio::io_context& context)
+{
+    const bth::endpoint any{{0x7f000001}, 0};
+    auto acceptor = bth::shell::listen_on(context.get_executor(), any);
+    return bth::shell::from_asio(acceptor->local_endpoint());
+}
+
+// One log for all tests: the logging library can't be initialised a second time.
+bth::shell::event_log& events()
+{
+    static bth::shell::event_log log{bth::shell::event_log_settings{}};
+    return log;
+}
+
+// An entry host that answers forwarded requests with status 200, and connects on demand.
+struct forwarding_host {
+    forwarding_host(asio::io_context& context, bth::shell::event_log& events,
+                    const std::string& name)
+        : link{std::make_shared<bth::shell::peer_link>(
+              context.get_executor(),
+              bth::shell::peer_link_settings{name, bth::incarnation{1}})},
+          forwarder{std::make_shared<request_forwarder>(
+              context, this->link, [this](const std::string& host) { this->use(host); }, events,
+              [](std::shared_ptr<const handoff_request>, std::shared_ptr<send_control>)
+                  -> asio::awaitable<handoff_outcome> {
+                  handoff_outcome out;
+                  out.at_target = 2;
+                  co_return out;
+              })}
+    {
+        this->forwarder->start();
+    }
+    ~forwarding_host()
+    {
+        this->forwarder->stop();
+        this->link->stop();
+    }
+
+    forwarding_host(const forwarding_host&) = delete;
+    forwarding_host& operator=(const forwarding_host&) = delete;
+    forwarding_host(forwarding_host&&) = delete;
+    forwarding_host& operator=(forwarding_host&&) = delete;
+
+    void use(const std::string& host)
+    {
+        ++this->uses;
+        if (host == this->other.name) {
+            this->link->set_peers({this->other});
+        }
+    }
+
+    std::shared_ptr<bth::shell::peer_link> link;
+    std::shared_ptr<request_forwarder> forwarder;
+    bth::shell::peer_address other;
+    int uses{};
+};
+
+struct forward_result {
+    bool ended{};
+    std::optional<handoff_outcome> outcome;
+};
+
+// Forwards a request and runs until it has ended; the bound only stops a test that would never end.
+forward_result forward(asio::io_context& context, forwarding_host& from, const std::string& to)
+{
+    auto result = std::make_shared<forward_result>();
+    asio::co_spawn(
+        context,
+        [forwarder = from.forwarder, to, result]() -> asio::awaitable<void> {
+            handoff_request request;
+            request.target = "t1";
+            auto control = std::make_shared<send_control>();
+            result->outcome =
+                co_await forwarder->forward(to, std::move(request), std::move(control));
+            result->ended = true;
+        },
+        asio::detached);
+    constexpr std::chrono::seconds bound{20};
+    const auto end = std::chrono::steady_clock::now() + bound;
+    while (!result->ended && std::chrono::steady_clock::now() < end) {
+        context.restart();
+        context.run_one_for(100ms);
+    }
+    return *result;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(request_forwarder)
+{
+    void setup() override
+    {
+        // The logging library keeps its loggers until the process ends.
+        MemoryLeakWarningPlugin::saveAndDisableNewDeleteOverloads();
+        events();
+        log4cplus::Logger::getRoot().setLogLevel(log4cplus::OFF_LOG_LEVEL);
+    }
+    void teardown() override
+    {
+        MemoryLeakWarningPlugin::restoreNewDeleteOverloads();
+    }
+};
+// clang-format on
+
+TEST(request_forwarder, host_is_connected_when_the_first_request_is_forwarded_to_it)
+{
+    asio::io_context context;
+    forwarding_host caller{context, events(), "a"};
+    forwarding_host owner{context, events(), "b"};
+    const auto where = free_endpoint(context);
+    CHECK_TRUE(owner.link->listen(where).has_value());
+    caller.other = {"b", where, true};
+    CHECK_FALSE(caller.link->connected("b"));
+    CHECK_TRUE(caller.forwarder->is_usable("b"));
+    const auto first = forward(context, caller, "b");
+    CHECK_TRUE(first.outcome.has_value());
+    LONGS_EQUAL(2, first.outcome->at_target);
+    CHECK_TRUE(caller.link->connected("b"));
+    CHECK_TRUE(forward(context, caller, "b").outcome.has_value());
+    // Each message keeps the connection on both sides.
+    CHECK_TRUE(caller.uses >= 4);
+    CHECK_TRUE(owner.uses >= 2);
+}
+
+TEST(request_forwarder, request_to_a_host_that_cannot_be_connected_is_given_back_and_the_host_avoided)
+{
+    asio::io_context context;
+    forwarding_host caller{context, events(), "a"};
+    caller.other = {"b", free_endpoint(context), true};
+    const auto result = forward(context, caller, "b");
+    CHECK_TRUE(result.ended);
+    CHECK_FALSE(result.outcome.has_value());
+    CHECK_FALSE(caller.forwarder->is_usable("b"));
+    CHECK_TRUE(caller.forwarder->is_usable("c"));
+}
