Serve sooner after a loss of power of all hosts

Causes in the logs: - The first reading of the list began at 31.53 s, by the host of lowest rank, which had started last, and took 0.45 s for its 25 pages one after another. - Entry hosts waited 0.7 s for a connection to a seed that had no power yet. - frontend-wm-worcs-2 left its isolated nearest control host for another one, which redirected it back for a second before it sent any targets: targets were known at 33.26 s.

Change: every voter without a list reads one 0.15 s after its start; the first list and long lists are read by failure domains, all at the same time; a try to connect ends after 0.3 s; a report states whether the entry host would follow a redirection.

--- a/bth/fleet/attachment_table.cpp
+++ b/bth/fleet/attachment_table.cpp
@@ -49,6 +49,7 @@
     attached.host = received.host;
     attached.host.name = name;
     attached.last_report_at = now;
+    attached.stays = received.stays;
     if (result.is_new) {
         attached.attached_since = now;
     }
@@ -103,7 +104,7 @@
 bool attachment_table::is_to_be_redirected(time_point now, const row& recipient,
                                            const control_view& view) const
 {
-    if (recipient.host.domain == this->own_domain ||
+    if (recipient.stays || recipient.host.domain == this->own_domain ||
         now - recipient.attached_since >= redirect_time) {
         return false;
     }
--- a/bth/fleet/attachment_table.h
+++ b/bth/fleet/attachment_table.h
@@ -98,6 +98,8 @@
 private:
     struct row {
         entry_host host;
+        // See report::stays.
+        bool stays{};
         time_point last_report_at;
         // When its first report arrived.
         time_point attached_since;
--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -445,43 +445,92 @@
                                        time_point now) const
 {
     const auto& voters = group_status.members.voters;
+    const bool votes = is_voter(group_status.members, group_status.self);
+    if (!this->catalog.was_read()) {
+        return should_read_first_list(votes, now - this->started_at);
+    }
     const auto smaller =
         std::count_if(voters.begin(), voters.end(), [this](const auto& each) {
             return each.host < this->name && this->link->connected(each.host);
         });
-    const auto age = this->catalog.was_read()
-                         ? now - this->catalog.read_at()
-                         : age_before_first_reading(now - this->started_at,
-                                                    this->settings.drain_time);
-    return should_read_list({this->is_leader, is_voter(group_status.members, group_status.self),
-                             static_cast<std::uint32_t>(smaller), age,
-                             this->settings.drain_time});
+    return should_read_list({this->is_leader, votes, static_cast<std::uint32_t>(smaller),
+                             now - this->catalog.read_at(), this->settings.drain_time});
 }
 
 asio::awaitable<void> control_host::read_list()
 {
     const auto started_at = shell::monotonic_now();
-    auto targets = co_await this->callbacks.read_list();
+    target_list_result reading;
+    // Not a conditional expression: g++ 12 miscompiles co_await in its operands.
+    if (reads_by_domain(this->settings.regions.size(), this->calls_of_last_reading)) {
+        reading = co_await this->read_list_by_domain();
+    }
+    else {
+        std::string all_domains;
+        reading = co_await this->callbacks.read_list(std::move(all_domains));
+    }
     const auto now = shell::monotonic_now();
     this->list_read_in_flight = false;
     if (this->stopping) {
         co_return;
     }
-    if (!targets) {
+    if (!reading) {
         this->events->write(shell::event{"list_failed"}
-                                .with("why", targets.error())
+                                .with("why", reading.error())
                                 .with("held_age_ms", now - this->catalog.read_at()));
         co_return;
     }
-    const bool list_changed = this->catalog.record_reading(std::move(*targets), started_at);
+    this->calls_of_last_reading = reading->calls;
+    const bool list_changed =
+        this->catalog.record_reading(std::move(reading->targets), started_at);
     if (list_changed) {
         this->events->write(shell::event{"list_read"}
                                 .with("targets", this->catalog.size())
                                 .with("revision", this->catalog.revision().value())
+                                .with("calls", reading->calls)
                                 .with("took_ms", now - started_at));
         this->send_updates(now);
     }
     this->send_relay(now, list_changed, std::nullopt);
 }
 
+asio::awaitable<target_list_result> control_host::read_list_by_domain()
+{
+    struct joined_reading {
+        explicit joined_reading(asio::io_context& context) : all_ended{context} {}
+
+        target_list_result result{target_list_reading{}};
+        std::size_t pending{};
+        // Never expires; cancelled when the last part has ended.
+        asio::steady_timer all_ended;
+    };
+    const auto joined = std::make_shared<joined_reading>(*this->context);
+    joined->all_ended.expires_at(std::chrono::steady_clock::time_point::max());
+    joined->pending = this->settings.regions.size();
+    for (const auto& [domain, region] : this->settings.regions) {
+        asio::co_spawn(
+            *this->context,
+            [self = shared_from_this(), joined, domain = domain]() -> asio::awaitable<void> {
+                auto part = co_await self->callbacks.read_list(domain);
+                if (!part) {
+                    joined->result = tl::unexpected{std::move(part.error())};
+                }
+                else if (joined->result) {
+                    auto& targets = joined->result->targets;
+                    targets.insert(targets.end(), part->targets.begin(), part->targets.end());
+                    joined->result->calls += part->calls;
+                }
+                if (--joined->pending == 0) {
+                    joined->all_ended.cancel();
+                }
+            },
+            asio::detached);
+    }
+    if (joined->pending > 0) {
+        boost::system::error_code ignored;
+        co_await joined->all_ended.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return std::move(joined->result);
+}
+
 } // namespace bth::fleet
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -53,13 +53,20 @@
     duration drain_time{};
 };
 
-// All targets on the platform's list, or one sentence that says what failed.
-using target_list_result = tl::expected<std::vector<dispatch::target_info>, std::string>;
+// What a reading of the platform's list, or of the part of one failure domain, returned.
+struct target_list_reading {
+    std::vector<dispatch::target_info> targets;
+    // The number of calls that it took.
+    std::size_t calls{};
+};
+
+// A reading, or one sentence that says what failed.
+using target_list_result = tl::expected<target_list_reading, std::string>;
 
 // Functions that the platform supplies.
 struct platform_callbacks {
-    // Reads the full list of targets.
-    std::function<boost::asio::awaitable<target_list_result>()> read_list;
+    // Reads the targets of one failure domain, or all targets if it is empty.
+    std::function<boost::asio::awaitable<target_list_result>(std::string domain)> read_list;
     // Decodes and checks the text of a configuration.
     std::function<tl::expected<route::configuration, findings>(const std::string&)>
         decode_configuration;
@@ -138,6 +145,8 @@
     void refresh_peers(const consensus::replica_status& group_status);
     void update_membership(const consensus::replica_status& group_status, time_point now);
     boost::asio::awaitable<void> read_list();
+    // Reads the parts of all failure domains at the same time and joins them.
+    boost::asio::awaitable<target_list_result> read_list_by_domain();
     // Sends the relays that are due; see relay_schedule.
     void send_due_relays(time_point now);
     // Sends a relay to all control hosts, or to one of them.
@@ -175,6 +184,8 @@
     bool is_leader{};
     relay_schedule relays;
     bool list_read_in_flight{};
+    // The number of calls of the last reading of the list here, 0 if there was none.
+    std::size_t calls_of_last_reading{};
     time_point started_at;
     bool stopping{};
 };
--- a/bth/fleet/control_host_selector.h
+++ b/bth/fleet/control_host_selector.h
@@ -55,6 +55,8 @@
 
     // The control host to report to; empty before the first call of reselect().
     const std::string& current() const { return this->selected; }
+    // Whether the current control host is kept even if a nearer one is reported.
+    bool stays() const { return this->has_selected_nearest; }
     // When the last update arrived, and the last one from a control host in contact.
     time_point last_update_at() const { return this->last_update; }
     time_point last_contact_at() const { return this->last_contact; }
--- a/bth/fleet/entry_agent.cpp
+++ b/bth/fleet/entry_agent.cpp
@@ -176,7 +176,8 @@
         this->held_version,
         this->held_index,
         this->held_targets,
-        this->control_incarnation};
+        this->control_incarnation,
+        this->selector.stays()};
     const auto bytes = encode(out);
     this->link->send(this->selector.current(), wire::frame_kind::membership,
                      {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
--- a/bth/fleet/internal/fleet_generated.h
+++ b/bth/fleet/internal/fleet_generated.h
@@ -622,6 +622,7 @@
   uint64_t agreed_index = 0;
   uint64_t targets_revision = 0;
   uint64_t serving_life = 0;
+  bool stays = false;
   ReportT() = default;
   ReportT(const ReportT &o);
   ReportT(ReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -636,7 +637,8 @@
     VT_VERSION = 6,
     VT_AGREED_INDEX = 8,
     VT_TARGETS_REVISION = 10,
-    VT_SERVING_LIFE = 12
+    VT_SERVING_LIFE = 12,
+    VT_STAYS = 14
   };
   const bth::fleet::frames::EntryHost *host() const {
     return GetPointer<const bth::fleet::frames::EntryHost *>(VT_HOST);
@@ -653,6 +655,9 @@
   uint64_t serving_life() const {
     return GetField<uint64_t>(VT_SERVING_LIFE, 0);
   }
+  bool stays() const {
+    return GetField<uint8_t>(VT_STAYS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -661,6 +666,7 @@
            VerifyField<uint64_t>(verifier, VT_AGREED_INDEX, 8) &&
            VerifyField<uint64_t>(verifier, VT_TARGETS_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_SERVING_LIFE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STAYS, 1) &&
            verifier.EndTable();
   }
   ReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -687,6 +693,9 @@
   void add_serving_life(uint64_t serving_life) {
     fbb_.AddElement<uint64_t>(Report::VT_SERVING_LIFE, serving_life, 0);
   }
+  void add_stays(bool stays) {
+    fbb_.AddElement<uint8_t>(Report::VT_STAYS, static_cast<uint8_t>(stays), 0);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -704,13 +713,15 @@
     uint64_t version = 0,
     uint64_t agreed_index = 0,
     uint64_t targets_revision = 0,
-    uint64_t serving_life = 0) {
+    uint64_t serving_life = 0,
+    bool stays = false) {
   ReportBuilder builder_(_fbb);
   builder_.add_serving_life(serving_life);
   builder_.add_targets_revision(targets_revision);
   builder_.add_agreed_index(agreed_index);
   builder_.add_version(version);
   builder_.add_host(host);
+  builder_.add_stays(stays);
   return builder_.Finish();
 }
 
@@ -1541,7 +1552,8 @@
         version(o.version),
         agreed_index(o.agreed_index),
         targets_revision(o.targets_revision),
-        serving_life(o.serving_life) {
+        serving_life(o.serving_life),
+        stays(o.stays) {
 }
 
 inline ReportT &ReportT::operator=(ReportT o) FLATBUFFERS_NOEXCEPT {
@@ -1550,6 +1562,7 @@
   std::swap(agreed_index, o.agreed_index);
   std::swap(targets_revision, o.targets_revision);
   std::swap(serving_life, o.serving_life);
+  std::swap(stays, o.stays);
   return *this;
 }
 
@@ -1567,6 +1580,7 @@
   { auto _e = agreed_index(); _o->agreed_index = _e; }
   { auto _e = targets_revision(); _o->targets_revision = _e; }
   { auto _e = serving_life(); _o->serving_life = _e; }
+  { auto _e = stays(); _o->stays = _e; }
 }
 
 inline flatbuffers::Offset<Report> Report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1582,13 +1596,15 @@
   auto _agreed_index = _o->agreed_index;
   auto _targets_revision = _o->targets_revision;
   auto _serving_life = _o->serving_life;
+  auto _stays = _o->stays;
   return bth::fleet::frames::CreateReport(
       _fbb,
       _host,
       _version,
       _agreed_index,
       _targets_revision,
-      _serving_life);
+      _serving_life,
+      _stays);
 }
 
 inline UpdateT::UpdateT(const UpdateT &o)
--- a/bth/fleet/list_reading.h
+++ b/bth/fleet/list_reading.h
@@ -1,7 +1,9 @@
-// Decides which control host reads the platform's list of targets. Each control host decides by
-// itself, from what it knows.
+// Decides which control host reads the platform's list of targets, and how. Each control host
+// decides by itself, from what it knows.
 //
-//   if (should_read_list({is_leader, is_voter, rank, age_of_the_list, drain_time})) { ... }
+//   if (should_read_list({is_leader, is_voter, rank, age_of_the_list, drain_time})) {
+//       read(reads_by_domain(domains.size(), calls_of_the_last_reading));
+//   }
 //
 // This serves a list whose calls are limited and priced for all hosts together, and whose readings
 // take longer the more targets there are: a thousand targets are 25 calls, one after another. The
@@ -13,6 +15,7 @@
 #include "bth/base/time.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 
 namespace bth::fleet {
@@ -51,12 +54,27 @@
            state.list_age >= state.drain_time * std::min(delay, last_follower_delay) / percent;
 }
 
-// Returns the age that a list which was never read counts as, a time `running` after the start of
-// the process: the first voter reads a moment after it is connected to the others, so that not all
-// of them read when all hosts start together.
-constexpr duration age_before_first_reading(duration running, duration drain_time)
+// Returns whether a voter that has no list yet should read it now, a time `running` after its start.
+// A single control host that restarts gets the list from the others as soon as it is connected to
+// them. If all restart together, none of them has it, every request is refused until it is read, and
+// each of them may be the first to run: then all read it.
+constexpr bool should_read_first_list(bool is_voter, duration running)
 {
-    return drain_time / 2 + running;
+    constexpr std::chrono::milliseconds relay_wait{150};
+    return is_voter && running >= relay_wait;
+}
+
+// Returns whether the parts of the list that belong to the failure domains should be read at the
+// same time, instead of all pages one after another. `calls` is the number of calls of the last
+// reading, 0 if there was none.
+//
+// The pages of a list of a thousand targets take half a second one after another, and a tenth at the
+// same time. A part of a domain ends with a page that isn't full, so reading by domains takes up to
+// half a call more per domain. That is worth it for long lists, and for the first one, of unknown
+// length, without which nobody can be served.
+constexpr bool reads_by_domain(std::size_t domains, std::size_t calls)
+{
+    return calls == 0 || calls >= 2 * domains;
 }
 
 } // namespace bth::fleet
--- a/bth/fleet/messages.cpp
+++ b/bth/fleet/messages.cpp
@@ -124,6 +124,7 @@
     out.agreed_index = from.index.value();
     out.targets_revision = from.targets.value();
     out.serving_life = from.control_incarnation.value();
+    out.stays = from.stays;
     return out;
 }
 
@@ -134,7 +135,7 @@
     }
     return report{unpack(*from.host), route::config_version{from.version},
                   agreed_index{from.agreed_index}, catalog_revision{from.targets_revision},
-                  incarnation{from.serving_life}};
+                  incarnation{from.serving_life}, from.stays};
 }
 
 frames::UpdateT pack(const update& from)
--- a/bth/fleet/messages.h
+++ b/bth/fleet/messages.h
@@ -54,6 +54,9 @@
     catalog_revision targets;
     // The incarnation of the control host for which `targets` is valid.
     incarnation control_incarnation;
+    // Whether the host stays attached even if it learns of a nearer control host, since it has been
+    // attached to the nearest one before.
+    bool stays{};
 };
 
 // The changes of a catalog since a revision, or the full catalog.
--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -29,8 +29,9 @@
 // A healed cut must be found well before the second in which a host is missed.
 constexpr std::chrono::milliseconds most_back_off{500};
 constexpr std::chrono::milliseconds larger_name_delay{1000};
-// A lost opening packet is sent again after a second; a new try is faster.
-constexpr std::chrono::milliseconds connect_limit{700};
+// Several round trips between the farthest regions. An opening packet that is lost, or that reaches
+// a host before it listens or has power, is sent again after a second; a new try is faster.
+constexpr std::chrono::milliseconds connect_limit{300};
 constexpr std::size_t max_unknown_connections = 1024;
 
 // A peer to stay connected with, or one that connected by itself.
