Use what a host of hundreds sees rarely, and keep small regions as free as others

Causes: - By chance some targets are first for three or more objects and always full. A host sees a target once in half a minute, and a report counted for a tenth of its mean and for 0.3 s. Now it counts fully if it is the first one in 5 s, and is forgotten over 20 s, so that a target that was crowded is tried again. - Cold runs on targets that are no homes of the object spread the overload. They cost twice what a warm run saves; if the homes can't take the request any more, a target that would still be in time is used, as before. - The small region kept half as much again as its part. Now it keeps what loads it about like the others; with nearly its part it keeps everything, as before.

Tests, failing before: the peak load of region_replay (three of four in time), a_single_report_counts_until_it_is_old, and that a region with a tenth of the slots is loaded at most a quarter more than the others. Its other checks stand.

Weights of targets set by a leader and a second home while the first is crowded were tried in the replay and dropped (docs/design/platform.md).

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -35,10 +35,10 @@
 constexpr double late_wait_limit_step = 0.1;
 constexpr double min_late_wait_limit = 0.2;
 
-// The cost added to a target that is not an affinity target of the object, as a fraction of the
-// time that a warm target saves over a cold one: targets keep few objects warm, and each further
-// one evicts another.
-constexpr double non_affinity_penalty = 0.3;
+// The cost added to a target that is not an affinity target of the object, as a multiple of the
+// time that a warm target saves over a cold one. Its cold run makes it warm for an object that
+// other hosts send elsewhere, and evicts another one or delays the requests for it.
+constexpr double non_affinity_penalty = 2.0;
 
 struct scored_target {
     placement placed;
@@ -53,6 +53,7 @@
     not_ejected,
     any,
     affinity_targets, // The affinity targets of the object that are not ejected.
+    in_time,          // Those that are not ejected and are expected to meet the objective.
 };
 
 bool is_region_allowed(const placement_request& request, std::string_view region)
@@ -199,6 +200,10 @@
         if (filter == target_filter::affinity_targets && !scored.has_affinity) {
             continue;
         }
+        if (filter == target_filter::in_time &&
+            scored.placed.total() > request.remaining_objective) {
+            continue;
+        }
         if (!best || scored.cost < best->cost ||
             (scored.cost == best->cost && scored.rank > best->rank)) {
             best = std::move(scored);
@@ -279,7 +284,15 @@
         }
         best = best_affinity ? std::move(best_affinity) : std::move(best);
     }
-    return admit(request, estimate, best->placed);
+    const auto admitted = admit(request, estimate, best->placed);
+    if (admitted) {
+        return admitted;
+    }
+    // The best target is an affinity target with a long queue, or all others are worse. Its cost
+    // says that waiting there is better than a cold start elsewhere, but it can't wait there any
+    // more.
+    const auto elsewhere = best_of(registry, request, estimate, target_filter::in_time);
+    return elsewhere ? tl::expected<placement, placement_error>{elsewhere->placed} : admitted;
 }
 
 std::uint64_t affinity_rank(object_key key, std::string_view target_id)
--- a/bth/dispatch/region_share.h
+++ b/bth/dispatch/region_share.h
@@ -33,16 +33,19 @@
 // Returns the share of the objects that should be served in other regions, from 0 to 1.
 inline double wanted_remote_share(const region_capacity& capacity)
 {
-    // Services are planned for about two thirds of the load that their slots can serve, so a region
-    // can serve half as much again as its share of the slots by itself.
-    constexpr double headroom_factor = 1.5;
+    // A region that has almost its part of the slots serves all of its callers by itself, which
+    // saves them the way to another region. A region that has far less serves little more than its
+    // part: when load is at its worst, its slots would be full while other regions have room, and
+    // the few targets of a small region are loaded less evenly by chance.
+    constexpr double headroom_per_part = 0.3125; // 25% of headroom at four fifths of the part.
     if (capacity.own_slots <= 0.0 || capacity.other_slots <= 0.0) {
         return capacity.own_slots <= 0.0 && capacity.other_slots > 0.0 ? 1.0 : 0.0;
     }
     const double slot_share = capacity.own_slots / (capacity.own_slots + capacity.other_slots);
     const double caller_share =
         std::clamp(capacity.own_hosts / std::max(capacity.all_hosts, 1.0), slot_share, 1.0);
-    return std::max(0.0, 1.0 - headroom_factor * slot_share / caller_share);
+    const double part = slot_share / caller_share;
+    return std::max(0.0, 1.0 - part * (1.0 + headroom_per_part * part));
 }
 
 // A share that follows its wanted value at a limited rate, so that targets which come and go, and
--- a/bth/dispatch/target.cpp
+++ b/bth/dispatch/target.cpp
@@ -28,6 +28,13 @@
 constexpr double min_slowdown = 0.5;
 constexpr double max_slowdown = 8.0;
 
+// The time over which the mean of the reported load is taken where reports are rare. One of
+// hundreds of hosts sees a target once in many seconds.
+constexpr fractional_ms load_mean_time{5000.0};
+// The time constant with which a mean is forgotten. A target that seems crowded gets no requests
+// and so makes no reports; without this it would be avoided forever.
+constexpr fractional_ms load_forget_time{20000.0};
+
 void update_mean(double& mean, double observation)
 {
     mean += observation_weight * (observation - mean);
@@ -113,7 +120,10 @@
 {
     this->others_reported =
         std::max(0.0, static_cast<double>(requests) - static_cast<double>(this->own_in_flight));
-    update_mean(this->others_mean, this->others_reported);
+    // The longer ago the last report, the less it says of the present.
+    const fractional_ms gap = now - this->reported_at;
+    const double weight = std::max(observation_weight, 1.0 - std::exp(-gap / load_mean_time));
+    this->others_mean += weight * (this->others_reported - this->others_mean);
     this->reported_at = now;
 }
 
@@ -121,8 +131,8 @@
 {
     const fractional_ms age = now - this->reported_at;
     const double report_weight = std::exp(-age / report_decay_time);
-    const double others =
-        this->others_mean + (this->others_reported - this->others_mean) * report_weight;
+    const double remembered = this->others_mean * std::exp(-age / load_forget_time);
+    const double others = remembered + (this->others_reported - remembered) * report_weight;
     return static_cast<double>(this->own_in_flight) + others;
 }
 
