--- a/bth/consensus/replica_membership.cpp
+++ b/bth/consensus/replica_membership.cpp
@@ -28,8 +28,9 @@
 
 } // namespace
 
-// An applicant knows only its seeds, none of which needs to be the leader. A request that was passed
-// on once isn't passed on again, so that members with different leaders don't pass it in circles.
+// An applicant knows only its seeds, none of which needs to be the leader. A request that was
+// passed on once isn't passed on again, so that members with different leaders don't pass it in
+// circles.
 void replica::on_join_request(time_point now, const member_id& from, const join_request& request)
 {
     if (this->role != replica_role::leader) {
@@ -43,8 +44,8 @@
         return;
     }
     // A seed may pass on a request of an earlier incarnation after one of the present.
-    const bool superseded = std::any_of(
-        this->applicants.begin(), this->applicants.end(), [&](const auto& row) {
+    const bool superseded =
+        std::any_of(this->applicants.begin(), this->applicants.end(), [&](const auto& row) {
             return row.member.host == applicant_id.host && row.member.life > applicant_id.life;
         });
     if (superseded) {
--- a/bth/fleet/attachment_table.cpp
+++ b/bth/fleet/attachment_table.cpp
@@ -182,8 +182,8 @@
     const bool include_state =
         !redirect && (state.index > held.index || state.version > held.version);
     const auto list = this->lists.find(this->region_of(recipient.host.domain));
-    const bool include_list = !redirect && list != this->lists.end() &&
-                              list->second.version != recipient.sent_list;
+    const bool include_list =
+        !redirect && list != this->lists.end() && list->second.version != recipient.sent_list;
     const bool has_changes = include_list || include_state || held.targets != revision ||
                              view.in_contact != recipient.sent_in_contact;
     if (!has_changes && now - recipient.last_sent_at < update_interval) {
--- a/bth/fleet/attachment_table.h
+++ b/bth/fleet/attachment_table.h
@@ -65,8 +65,8 @@
     static constexpr std::chrono::milliseconds neighbour_list_interval{1000};
 
     attachment_table(std::string own_name, std::string own_domain, dispatch::domain_regions regions)
-        : own_name{std::move(own_name)}, own_domain{std::move(own_domain)}, regions{std::move(
-                                                                                regions)}
+        : own_name{std::move(own_name)}, own_domain{std::move(own_domain)}, regions{
+                                                                                std::move(regions)}
     {}
 
     struct report_result {
@@ -134,8 +134,7 @@
     std::shared_ptr<const std::string> shared_part(const shared_key& key, const control_view& view);
     // Makes the lists of the regions that changed anew, where their interval allows it.
     void refresh_lists(time_point now, const std::vector<entry_host>& all_hosts);
-    std::optional<due_update> make_update(time_point now, row& recipient,
-                                          const control_view& view);
+    std::optional<due_update> make_update(time_point now, row& recipient, const control_view& view);
     // Whether the recipient should move to another control host before it gets any data.
     bool is_to_be_redirected(time_point now, const row& recipient, const control_view& view) const;
 
--- a/bth/fleet/attachment_table_test.cpp
+++ b/bth/fleet/attachment_table_test.cpp
@@ -64,7 +64,8 @@
     // A report of a host that holds nothing.
     attachment_table::report_result report_of(time_point now, const entry_host& from)
     {
-        return this->attached.record_report(now, from.name, {from, {}, {}, {}, {}, false}, own_life);
+        return this->attached.record_report(now, from.name, {from, {}, {}, {}, {}, false},
+                                            own_life);
     }
     // A report of a host that holds everything.
     attachment_table::report_result full_report_of(time_point now, const entry_host& from)
--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -82,8 +82,8 @@
       callbacks{std::move(callbacks)}, events{&events}, group{std::move(group)},
       link{std::make_shared<shell::peer_link>(
           context.get_executor(), shell::peer_link_settings{this->name, incarnation_number})},
-      timer{context}, registry{this->settings.regions}, lookup_turn{this->settings.address.bits}, attached{this->name, this->settings.domain,
-                                                                 this->settings.regions}
+      timer{context}, registry{this->settings.regions}, lookup_turn{this->settings.address.bits},
+      attached{this->name, this->settings.domain, this->settings.regions}
 {
     this->control_domains[this->name] = this->settings.domain;
 }
@@ -239,8 +239,7 @@
 void control_host::handle(const shell::peer_identity& from, const report& received)
 {
     const auto now = shell::monotonic_now();
-    const auto result =
-        this->attached.record_report(now, from.name, received, this->link->life());
+    const auto result = this->attached.record_report(now, from.name, received, this->link->life());
     if (result.is_behind) {
         this->events->write(shell::event{"entry_host_behind"}
                                 .with("host", from.name)
@@ -449,10 +448,9 @@
     if (!this->catalog.was_read()) {
         return should_read_first_list(votes, now - this->started_at);
     }
-    const auto smaller =
-        std::count_if(voters.begin(), voters.end(), [this](const auto& each) {
-            return each.host < this->name && this->link->connected(each.host);
-        });
+    const auto smaller = std::count_if(voters.begin(), voters.end(), [this](const auto& each) {
+        return each.host < this->name && this->link->connected(each.host);
+    });
     return should_read_list({this->is_leader, votes, static_cast<std::uint32_t>(smaller),
                              now - this->catalog.read_at(), this->settings.drain_time});
 }
@@ -481,8 +479,7 @@
         co_return;
     }
     this->calls_of_last_reading = reading->calls;
-    const bool list_changed =
-        this->catalog.record_reading(std::move(reading->targets), started_at);
+    const bool list_changed = this->catalog.record_reading(std::move(reading->targets), started_at);
     if (list_changed) {
         this->events->write(shell::event{"list_read"}
                                 .with("targets", this->catalog.size())
--- a/bth/fleet/list_reading.h
+++ b/bth/fleet/list_reading.h
@@ -48,16 +48,17 @@
     if (state.is_leader) {
         return state.list_age >= state.drain_time * leader_interval / percent;
     }
-    const int delay = first_follower_delay +
-                      delay_per_rank * static_cast<int>(std::min<std::uint32_t>(state.rank, percent));
+    const int delay =
+        first_follower_delay +
+        delay_per_rank * static_cast<int>(std::min<std::uint32_t>(state.rank, percent));
     return state.is_voter &&
            state.list_age >= state.drain_time * std::min(delay, last_follower_delay) / percent;
 }
 
-// Returns whether a voter that has no list yet should read it now, a time `running` after its start.
-// A single control host that restarts gets the list from the others as soon as it is connected to
-// them. If all restart together, none of them has it, every request is refused until it is read, and
-// each of them may be the first to run: then all read it.
+// Returns whether a voter that has no list yet should read it now, a time `running` after its
+// start. A single control host that restarts gets the list from the others as soon as it is
+// connected to them. If all restart together, none of them has it, every request is refused until
+// it is read, and each of them may be the first to run: then all read it.
 constexpr bool should_read_first_list(bool is_voter, duration running)
 {
     constexpr std::chrono::milliseconds relay_wait{150};
@@ -68,10 +69,10 @@
 // same time, instead of all pages one after another. `calls` is the number of calls of the last
 // reading, 0 if there was none.
 //
-// The pages of a list of a thousand targets take half a second one after another, and a tenth at the
-// same time. A part of a domain ends with a page that isn't full, so reading by domains takes up to
-// half a call more per domain. That is worth it for long lists, and for the first one, of unknown
-// length, without which nobody can be served.
+// The pages of a list of a thousand targets take half a second one after another, and a tenth at
+// the same time. A part of a domain ends with a page that isn't full, so reading by domains takes
+// up to half a call more per domain. That is worth it for long lists, and for the first one, of
+// unknown length, without which nobody can be served.
 constexpr bool reads_by_domain(std::size_t domains, std::size_t calls)
 {
     return calls == 0 || calls >= 2 * domains;
--- a/bth/fleet/list_reading_test.cpp
+++ b/bth/fleet/list_reading_test.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using bth::fleet::list_reading_state;
 using bth::fleet::should_read_list;
 
 constexpr auto drain_time = 3s;
--- a/bth/fleet/messages.cpp
+++ b/bth/fleet/messages.cpp
@@ -133,9 +133,12 @@
     if (from.host == nullptr) {
         return std::nullopt;
     }
-    return report{unpack(*from.host), route::config_version{from.version},
-                  agreed_index{from.agreed_index}, catalog_revision{from.targets_revision},
-                  incarnation{from.serving_life}, from.stays};
+    return report{unpack(*from.host),
+                  route::config_version{from.version},
+                  agreed_index{from.agreed_index},
+                  catalog_revision{from.targets_revision},
+                  incarnation{from.serving_life},
+                  from.stays};
 }
 
 frames::UpdateT pack(const update& from)
--- a/bth/fleet/messages_test.cpp
+++ b/bth/fleet/messages_test.cpp
@@ -22,8 +22,8 @@
 
 TEST(fleet_messages, a_report_survives_encoding)
 {
-    const auto decoded = decode(encode(
-        report{host, config_version{7}, agreed_index{8}, catalog_revision{9}, incarnation{10}, true}));
+    const auto decoded = decode(encode(report{host, config_version{7}, agreed_index{8},
+                                              catalog_revision{9}, incarnation{10}, true}));
     const auto& received = std::get<report>(*decoded);
     CHECK_TRUE(received.host == host);
     LONGS_EQUAL(7, received.version.value());
--- a/bth/fleet/neighbours.h
+++ b/bth/fleet/neighbours.h
@@ -9,9 +9,10 @@
 // A control host without a leader knows only some of the entry hosts, so the hosts that it reports
 // are applied only once it is in contact with the other control hosts.
 //
-// Hosts are connected when they are needed, and for a while after. A region may have a hundred entry
-// hosts, of which each forwards requests to few: connections among all of them would cost each host
-// more processor time and memory the more hosts there are, most of all when all of them start.
+// Hosts are connected when they are needed, and for a while after. A region may have a hundred
+// entry hosts, of which each forwards requests to few: connections among all of them would cost
+// each host more processor time and memory the more hosts there are, most of all when all of them
+// start.
 #pragma once
 
 #include "bth/fleet/messages.h"
--- a/bth/fleet/neighbours_test.cpp
+++ b/bth/fleet/neighbours_test.cpp
@@ -66,9 +66,9 @@
 TEST(neighbour_table, hosts_of_a_large_region_are_not_connected_before_they_are_used)
 {
     neighbour_table table;
-    std::vector<std::string> names;
-    for (int i = 0; i < 91; ++i) {
-        names.push_back("host-" + std::to_string(i));
+    std::vector<std::string> names(91);
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        names[i] = "host-" + std::to_string(i);
     }
     table.record_reported(hosts(names));
     table.apply_reported(true);
@@ -77,7 +77,8 @@
     LONGS_EQUAL(1, table.hosts_to_connect(start).size());
 }
 
-TEST(neighbour_table, a_host_stays_connected_for_a_while_after_its_last_use_even_if_no_longer_reported)
+TEST(neighbour_table,
+     a_host_stays_connected_for_a_while_after_its_last_use_even_if_no_longer_reported)
 {
     neighbour_table table;
     table.record_reported(hosts({"a", "b"}));
--- a/bth/fleet/registry.h
+++ b/bth/fleet/registry.h
@@ -33,15 +33,15 @@
     // Returns the entry hosts that were seen recently, one row each, ordered by name.
     std::vector<entry_host> in_service(time_point now) const;
 
-    // Returns where a caller in `region` should connect: at most `limit` ready hosts of that region.
-    // If less than half of a region's part of the ready hosts is left there, as after the loss of a
-    // failure domain or while its hosts restart, ready hosts of other regions are added up to that
-    // part, so that the callers of a whole region don't overload the few hosts. Empty if no ready
-    // host is known.
+    // Returns where a caller in `region` should connect: at most `limit` ready hosts of that
+    // region. If less than half of a region's part of the ready hosts is left there, as after the
+    // loss of a failure domain or while its hosts restart, ready hosts of other regions are added
+    // up to that part, so that the callers of a whole region don't overload the few hosts. Empty if
+    // no ready host is known.
     //
-    // `turn` is a number that differs from one answer to the next. A region may have more hosts than
-    // an answer names, and callers keep an answer for a while, so each answer begins with another
-    // host.
+    // `turn` is a number that differs from one answer to the next. A region may have more hosts
+    // than an answer names, and callers keep an answer for a while, so each answer begins with
+    // another host.
     std::vector<endpoint> resolve(std::string_view region, time_point now, std::size_t limit,
                                   std::size_t turn) const;
 
--- a/bth/fleet/registry_test.cpp
+++ b/bth/fleet/registry_test.cpp
@@ -59,7 +59,8 @@
 }
 
 // A region starts again after a loss of power: its callers are a half of all.
-TEST(entry_host_registry, callers_of_a_region_with_few_ready_hosts_are_spread_over_other_regions_too)
+TEST(entry_host_registry,
+     callers_of_a_region_with_few_ready_hosts_are_spread_over_other_regions_too)
 {
     entry_host_registry registry{regions};
     std::vector<entry_host> rows;
--- a/bth/gateway/request_forwarder.h
+++ b/bth/gateway/request_forwarder.h
@@ -8,8 +8,8 @@
 //   }
 //
 // A host is connected when the first request is forwarded to it. One that can't be connected is
-// unusable for a while. A host that sends nothing while forwarded requests wait for it is pinged. If
-// it doesn't reply, it is unusable until a message from it arrives.
+// unusable for a while. A host that sends nothing while forwarded requests wait for it is pinged.
+// If it doesn't reply, it is unusable until a message from it arrives.
 #pragma once
 
 #include "bth/gateway/handoff.h"
--- a/bth/gateway/request_forwarder_test.cpp
+++ b/bth/gateway/request_forwarder_test.cpp
@@ -39,12 +39,11 @@
     forwarding_host(asio::io_context& context, bth::shell::event_log& events,
                     const std::string& name)
         : link{std::make_shared<bth::shell::peer_link>(
-              context.get_executor(),
-              bth::shell::peer_link_settings{name, bth::incarnation{1}})},
+              context.get_executor(), bth::shell::peer_link_settings{name, bth::incarnation{1}})},
           forwarder{std::make_shared<request_forwarder>(
               context, this->link, [this](const std::string& host) { this->use(host); }, events,
-              [](std::shared_ptr<const handoff_request>, std::shared_ptr<send_control>)
-                  -> asio::awaitable<handoff_outcome> {
+              [](std::shared_ptr<const handoff_request>,
+                 std::shared_ptr<send_control>) -> asio::awaitable<handoff_outcome> {
                   handoff_outcome out;
                   out.at_target = 2;
                   co_return out;
@@ -145,7 +144,8 @@
     CHECK_TRUE(owner.uses >= 2);
 }
 
-TEST(request_forwarder, request_to_a_host_that_cannot_be_connected_is_given_back_and_the_host_avoided)
+TEST(request_forwarder,
+     request_to_a_host_that_cannot_be_connected_is_given_back_and_the_host_avoided)
 {
     asio::io_context context;
     forwarding_host caller{context, events(), "a"};
