Don't refuse requests for loads that were seen long ago

Cause: since a single report counts until it is old, it also counted when a request is admitted.

Change: a remembered load ranks targets (usual_occupancy); a wait for which a request is refused comes from the recent one (occupancy), which is as it was before.

Test: targets_that_were_full_some_time_ago_are_tried, failing before.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -170,11 +170,15 @@
     const double queued = std::max(0.0, candidate->occupancy(request.now) + 1.0 - slots);
     scored.placed.wait =
         estimate.expected(scored.placed.warm) * candidate->slowdown() * (queued / slots);
-    scored.cost = scored.placed.total() + shed_penalty * candidate->shed_share();
+    const double usually_queued =
+        std::max(0.0, candidate->usual_occupancy(request.now) + 1.0 - slots);
+    const auto usual_wait = scored.placed.service_time * (usually_queued / slots);
+    scored.cost = scored.placed.service_time + usual_wait + scored.placed.network_delay +
+                  shed_penalty * candidate->shed_share();
     if (!scored.placed.warm) {
         // A cold request holds its slot for longer, which delays the requests for objects that the
         // target is warm for. The busier the target, the higher is the cost added for this.
-        const double utilization = std::min(1.0, candidate->occupancy(request.now) / slots);
+        const double utilization = std::min(1.0, candidate->usual_occupancy(request.now) / slots);
         scored.cost += (estimate.cold - estimate.warm) *
                        (utilization + (is_secondary ? 0.0 : non_affinity_penalty));
     }
@@ -284,7 +288,7 @@
         }
         best = best_affinity ? std::move(best_affinity) : std::move(best);
     }
-    const auto admitted = admit(request, estimate, best->placed);
+    auto admitted = admit(request, estimate, best->placed);
     if (admitted) {
         return admitted;
     }
--- a/bth/dispatch/placement_test.cpp
+++ b/bth/dispatch/placement_test.cpp
@@ -143,6 +143,20 @@
     STRCMP_EQUAL("d", place(registry, request, estimate)->target->info().id.c_str());
 }
 
+// On mhsa-shows-grown scale-1 hosts refused requests for which targets had been full 20 s before.
+TEST(placement, targets_that_were_full_some_time_ago_are_tried)
+{
+    auto registry = make_registry();
+    for (const auto& candidate : registry.targets_of_service("orders")) {
+        candidate->begin_request(start, 0);
+        candidate->end_request(start, send_outcome::answered, 100ms, 0ms,
+                               bth::dispatch::load_report{3, 9, 3});
+    }
+    auto request = make_request(5);
+    request.now = start + 2s;
+    CHECK_TRUE(place(registry, request, estimate).has_value());
+}
+
 TEST(placement, another_region_is_used_when_all_targets_of_the_own_one_were_tried)
 {
     const auto registry = make_registry();
--- a/bth/dispatch/target.cpp
+++ b/bth/dispatch/target.cpp
@@ -120,10 +120,11 @@
 {
     this->others_reported =
         std::max(0.0, static_cast<double>(requests) - static_cast<double>(this->own_in_flight));
+    update_mean(this->others_mean, this->others_reported);
     // The longer ago the last report, the less it says of the present.
     const fractional_ms gap = now - this->reported_at;
     const double weight = std::max(observation_weight, 1.0 - std::exp(-gap / load_mean_time));
-    this->others_mean += weight * (this->others_reported - this->others_mean);
+    this->remembered_load += weight * (this->others_reported - this->remembered_load);
     this->reported_at = now;
 }
 
@@ -131,11 +132,18 @@
 {
     const fractional_ms age = now - this->reported_at;
     const double report_weight = std::exp(-age / report_decay_time);
-    const double remembered = this->others_mean * std::exp(-age / load_forget_time);
-    const double others = remembered + (this->others_reported - remembered) * report_weight;
+    const double others =
+        this->others_mean + (this->others_reported - this->others_mean) * report_weight;
     return static_cast<double>(this->own_in_flight) + others;
 }
 
+double target::usual_occupancy(time_point now) const
+{
+    const fractional_ms age = now - this->reported_at;
+    const double remembered = this->remembered_load * std::exp(-age / load_forget_time);
+    return std::max(this->occupancy(now), static_cast<double>(this->own_in_flight) + remembered);
+}
+
 std::size_t target::sends_in_last_second(time_point now)
 {
     while (!this->recent_sends.empty() &&
--- a/bth/dispatch/target.h
+++ b/bth/dispatch/target.h
@@ -83,6 +83,10 @@
     std::uint32_t in_flight() const { return this->own_in_flight; }
     // Estimates how many requests of all hosts are at the target.
     double occupancy(time_point now) const;
+    // The same if the target is as busy as it was when last seen, which may be long ago. It tells
+    // which of several targets is likely to be better, but not that a target is full now: if all of
+    // them were full some time ago, requests that were refused for that would find them idle.
+    double usual_occupancy(time_point now) const;
     std::uint32_t slots() const { return this->listed_info.slots; }
 
     // Returns whether the target is cold, by the list or by assume_cold().
@@ -121,6 +125,8 @@
     // the reports. `reported_at` is the time of the last report.
     double others_reported{};
     double others_mean{};
+    // The mean over time of the reports; see usual_occupancy().
+    double remembered_load{};
     time_point reported_at;
     time_point cold_until;
     time_point ejected_until;
