Don't send elsewhere what can't be answered before its deadline

Found while reading the change: when an object's own targets are full, a request goes to any target that is expected to meet the objective. A caller's deadline may be shorter than the objective.

Test: another_region_is_not_used_if_the_caller_leaves_before_its_answer, failing before.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -47,7 +47,7 @@
     not_ejected,
     any,
     affinity_targets, // The affinity targets of the object that are not ejected.
-    in_time,          // Those that are not ejected and are expected to meet the objective.
+    in_time, // Those that are not ejected and are expected to meet the objective and the deadline.
 };
 
 bool is_region_allowed(const placement_request& request, std::string_view region)
@@ -199,7 +199,7 @@
             continue;
         }
         if (filter == target_filter::in_time &&
-            scored.placed.total() > request.remaining_objective) {
+            scored.placed.total() > std::min(request.remaining_objective, request.remaining_time)) {
             continue;
         }
         if (!best || scored.cost < best->cost ||
--- a/bth/dispatch/placement_test.cpp
+++ b/bth/dispatch/placement_test.cpp
@@ -143,6 +143,20 @@
     STRCMP_EQUAL("d", place(registry, request, estimate)->target->info().id.c_str());
 }
 
+TEST(placement, another_region_is_not_used_if_the_caller_leaves_before_its_answer)
+{
+    auto registry = make_registry();
+    for (const auto* id : {"a", "b", "c"}) {
+        add_requests(registry, id, 12);
+    }
+    auto request = make_request(5);
+    request.remaining_objective = 400ms;
+    request.remaining_time = 200ms;
+    const auto placed = place(registry, request, estimate);
+    CHECK_FALSE(placed.has_value());
+    CHECK(placed.error().reason == placement_failure::deadline_exceeded);
+}
+
 // On mhsa-shows-grown scale-1 hosts refused requests for which targets had been full 20 s before.
 TEST(placement, targets_that_were_full_some_time_ago_are_tried)
 {
