--- a/bth/dispatch/testing/region_replay.cpp
+++ b/bth/dispatch/testing/region_replay.cpp
@@ -38,7 +38,7 @@
 class region {
 public:
     explicit region(const region_load& load)
-        : load{&load}, generator{load.seed}, targets(load.targets), ran(load.targets)
+        : load{&load}, generator{load.seed}, targets(load.targets)
     {
         std::vector<target_info> rows;
         for (std::size_t i = 0; i < load.targets; ++i) {
@@ -212,7 +212,6 @@
     std::multimap<time_point, std::function<void()>> events;
     std::vector<std::unique_ptr<host>> hosts;
     std::vector<simulated_target> targets;
-    std::vector<std::size_t> ran;
     std::map<std::string, std::size_t> index_of;
     replay_result result;
 };
