Log when a control host stops taking part in its group, and why

What callers saw: 404 for routes that are in force, from entry hosts attached to a control host that agreed on nothing for 88 s. Its log had no line in that time, and its metrics said that it knew a leader.

The logs couldn't tell a failed log from a leader that isn't heard. group_stopped names the error and where the member stood; bth_control_group_running and bth_control_leader_heard_age_seconds show the same in the metrics. No decision changes.

--- a/bth/consensus/replica.cpp
+++ b/bth/consensus/replica.cpp
@@ -183,6 +183,7 @@
     found.role = this->role;
     found.term = this->state.term;
     found.leader = this->leader;
+    found.heard_leader = this->heard_leader;
     found.holds_lease = this->role == replica_role::leader && this->commit >= this->term_start &&
                         this->holds_lease(now);
     found.caught_up = this->caught_up();
--- a/bth/consensus/replica.h
+++ b/bth/consensus/replica.h
@@ -120,6 +120,8 @@
     replica_role role{};
     term_number term;
     std::optional<member_id> leader;
+    // When a message of a leader last arrived, or the start if none has.
+    time_point heard_leader;
     // A leader: whether a quorum confirmed it recently enough.
     bool holds_lease{};
     // Whether the applied state may be served; see replica::caught_up.
--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -216,7 +216,9 @@
             this->group->machine().state().version.value(),
             this->catalog.size(),
             this->registry.in_service(now).size(),
-            now - this->catalog.read_at()};
+            now - this->catalog.read_at(),
+            !this->group->failure().has_value(),
+            this->is_leader ? duration{} : now - this->group->status().heard_leader};
 }
 
 bool control_host::receive(const shell::peer_identity& from, wire::byte_view payload)
@@ -304,6 +306,7 @@
 void control_host::on_group_progress()
 {
     const auto group_status = this->group->status();
+    this->report_group_failure(group_status);
     this->update_leader(group_status);
     const auto& state = this->group->machine().state();
     if (state.index != this->logged_index) {
@@ -316,6 +319,21 @@
     }
 }
 
+void control_host::report_group_failure(const consensus::replica_status& group_status)
+{
+    const auto failure = this->group->failure();
+    if (failure.has_value() == this->group_failure_reported) {
+        return;
+    }
+    this->group_failure_reported = failure.has_value();
+    this->events->write(shell::event{"group_stopped"}
+                            .with("why", *failure)
+                            .with("term", group_status.term.value())
+                            .with("log_index", group_status.last.value)
+                            .with("commit_index", group_status.commit.value),
+                        shell::event_weight::essential);
+}
+
 void control_host::update_leader(const consensus::replica_status& group_status)
 {
     const bool is_leader_now =
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -119,6 +119,10 @@
         std::size_t entry_hosts{};
         // Age of the newest reading of the platform's list.
         duration list_age{};
+        // Whether this host takes part in the group; false after its log couldn't be written.
+        bool group_running{};
+        // Age of the last message of the leader; zero while this host is the leader.
+        duration leader_heard_age{};
     };
     host_status status() const;
 
@@ -139,6 +143,8 @@
     // Called after each step of the consensus group.
     void on_group_progress();
     void update_leader(const consensus::replica_status& group_status);
+    // Writes an event if the group stopped on this host since the last call.
+    void report_group_failure(const consensus::replica_status& group_status);
 
     boost::asio::awaitable<void> run();
     void expire_attached_hosts(time_point now);
@@ -182,6 +188,7 @@
     agreed_index logged_index;
     std::optional<std::string> leader;
     bool is_leader{};
+    bool group_failure_reported{};
     relay_schedule relays;
     bool list_read_in_flight{};
     // The number of calls of the last reading of the list here, 0 if there was none.
