--- a/process_tests/platform_fleet.py
+++ b/process_tests/platform_fleet.py
@@ -8,6 +8,8 @@
 import itertools
 import json
 import os
+import re
+import resource
 
 import harness
 from platform_standins import PREFIX, REQUEST_ID, Target, TargetList, configuration
@@ -80,6 +82,28 @@
             "bth-platform-entry", "--settings", self.write(f"entry-{domain}.json", settings),
             name=f"entry-{domain}-{len(self.processes)}")
 
+    def fill_disk(self, domain):
+        """No file of the control host can grow from now on, as on a full disk."""
+        self.limit_files(domain, 1)
+
+    def free_disk(self, domain):
+        self.limit_files(domain, resource.RLIM_INFINITY)
+
+    def limit_files(self, domain, size):
+        process = self.controls[domain].popen.pid
+        _, hard = resource.prlimit(process, resource.RLIMIT_FSIZE)
+        resource.prlimit(process, resource.RLIMIT_FSIZE, (size, hard))
+
+    def metric(self, domain, name):
+        """A metric of a control host; nothing if the host doesn't answer."""
+        try:
+            where = self.settings[f"control-{domain}"]["listen"]["metrics"]
+            _, _, text = harness.call(where, "GET", "/metrics", timeout=1)
+        except OSError:
+            return None
+        found = re.search(rf"^{name} (\S+)$", text.decode(), re.MULTILINE)
+        return float(found.group(1)) if found else None
+
     def listen(self, name, what):
         return self.settings[name]["listen"][what]
 
