Count a control host as in contact only while it follows the group

What callers saw: 404 for routes that were acknowledged up to 60 s before, from entry hosts attached to a control host that agreed on nothing any more.

Cause: a control host called itself in contact when it knew a leader and had a recent list of targets. After its log failed, its member of the group stopped, but the leader that it last knew stayed known, and the list came from the other control hosts. Entry hosts keep, and choose, a control host that is in contact. The class of fault is health that is concluded from values nobody refreshes.

A control host is in contact if it leads with a lease, or if its member runs, has caught up with what it showed before a restart, and isn't behind an agreed index that entry hosts or other control hosts have reported for 0.4 s (agreement_lag). Relays carry the index. The last part doesn't depend on why the host stands still.

Evidence: process_platform_disk, entry hosts on a host whose disk is full. Before: 404 for a configuration 2.5 s after its acknowledgement, at a follower and at the leader. After: both tests get past this point.

--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -241,6 +241,7 @@
 void control_host::handle(const shell::peer_identity& from, const report& received)
 {
     const auto now = shell::monotonic_now();
+    this->lag.record(now, this->group->machine().state().index, received.index);
     const auto result = this->attached.record_report(now, from.name, received, this->link->life());
     if (result.is_behind) {
         this->events->write(shell::event{"entry_host_behind"}
@@ -268,6 +269,7 @@
 {
     const auto now = shell::monotonic_now();
     this->control_domains[from.name] = received.host.domain;
+    this->lag.record(now, this->group->machine().state().index, received.index);
     this->registry.record_hosts(from.name, received.entry_hosts, now);
     const auto read_at = now - received.list_age;
     const bool list_changed =
@@ -326,6 +328,13 @@
         return;
     }
     this->group_failure_reported = failure.has_value();
+    if (!failure) {
+        this->events->write(shell::event{"group_resumed"}
+                                .with("term", group_status.term.value())
+                                .with("log_index", group_status.last.value),
+                            shell::event_weight::essential);
+        return;
+    }
     this->events->write(shell::event{"group_stopped"}
                             .with("why", *failure)
                             .with("term", group_status.term.value())
@@ -353,6 +362,7 @@
     }
     this->leader = std::move(leader_now);
     this->is_leader = is_leader_now;
+    this->caught_up = group_status.caught_up;
 }
 
 asio::awaitable<void> control_host::run()
@@ -362,6 +372,7 @@
         const auto group_status = this->group->status();
         this->refresh_peers(group_status);
         this->update_membership(group_status, now);
+        this->report_lag(now);
         this->expire_attached_hosts(now);
         if (!this->list_read_in_flight && this->is_list_reading_due(group_status, now)) {
             this->list_read_in_flight = true;
@@ -377,6 +388,19 @@
     }
 }
 
+void control_host::report_lag(time_point now)
+{
+    const auto own = this->group->machine().state().index;
+    const bool behind = !this->is_leader && this->lag.is_behind(now, own);
+    if (behind != this->reported_behind) {
+        this->reported_behind = behind;
+        this->events->write(shell::event{behind ? "group_behind" : "group_caught_up"}
+                                .with("index", own.value())
+                                .with("reported_index", this->lag.awaited_index().value()),
+                            shell::event_weight::essential);
+    }
+}
+
 void control_host::expire_attached_hosts(time_point now)
 {
     const auto expired = this->attached.expire(now);
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -11,6 +11,7 @@
 
 #include "bth/dispatch/target_registry.h"
 #include "bth/fleet/agreed_state.h"
+#include "bth/fleet/agreement_lag.h"
 #include "bth/fleet/attachment_table.h"
 #include "bth/fleet/catalog.h"
 #include "bth/fleet/group_driver.h"
@@ -143,9 +144,12 @@
     // Called after each step of the consensus group.
     void on_group_progress();
     void update_leader(const consensus::replica_status& group_status);
-    // Writes an event if the group stopped on this host since the last call.
+    // Writes an event if the group stopped on this host, or resumed, since the last call.
     void report_group_failure(const consensus::replica_status& group_status);
 
+    // Writes an event if this host fell behind the group or caught up since the last call.
+    void report_lag(time_point now);
+
     boost::asio::awaitable<void> run();
     void expire_attached_hosts(time_point now);
     void refresh_peers(const consensus::replica_status& group_status);
@@ -163,6 +167,8 @@
     control_view make_view(time_point now) const;
     // Whether this host is in contact with the others; see update::in_contact.
     bool in_contact(time_point now) const;
+    // Whether this host holds what the group agrees on, apart from what is on its way.
+    bool follows_group(time_point now) const;
     bool is_list_reading_due(const consensus::replica_status& group_status, time_point now) const;
 
     boost::asio::io_context* context;
@@ -188,6 +194,11 @@
     agreed_index logged_index;
     std::optional<std::string> leader;
     bool is_leader{};
+    // Whether the agreed state is at least as new as any that this host showed before a restart.
+    bool caught_up{};
+    agreement_lag lag;
+    // Whether the last written event said that this host doesn't follow the group.
+    bool reported_behind{};
     bool group_failure_reported{};
     relay_schedule relays;
     bool list_read_in_flight{};
--- a/bth/fleet/control_host_updates.cpp
+++ b/bth/fleet/control_host_updates.cpp
@@ -26,7 +26,8 @@
 void control_host::send_relay(time_point now, bool include_list,
                               const std::optional<std::string>& only_to)
 {
-    relay out{{this->name, this->settings.domain}, this->attached.hosts(now), {}, 0, std::nullopt};
+    relay out{{this->name, this->settings.domain}, this->attached.hosts(now), {}, 0, std::nullopt,
+              this->group->machine().state().index};
     if (this->catalog.was_read()) {
         out.list_age = now - this->catalog.read_at();
         out.list_digest = this->catalog.digest();
@@ -50,8 +51,17 @@
     // An older reading means that neither this host nor any control host that sends it relays can
     // read the list; see should_read_list().
     const duration max_list_age = this->settings.drain_time * 5 / 6;
-    return this->leader.has_value() && this->catalog.was_read() &&
-           now - this->catalog.read_at() < max_list_age;
+    const bool list_is_recent =
+        this->catalog.was_read() && now - this->catalog.read_at() < max_list_age;
+    return this->follows_group(now) && list_is_recent;
+}
+
+bool control_host::follows_group(time_point now) const
+{
+    const auto own = this->group->machine().state().index;
+    // A leader with a lease holds all that is agreed on.
+    return this->is_leader ||
+           (this->leader.has_value() && this->caught_up && !this->lag.is_behind(now, own));
 }
 
 control_view control_host::make_view(time_point now) const
--- a/bth/fleet/internal/fleet_generated.h
+++ b/bth/fleet/internal/fleet_generated.h
@@ -1011,6 +1011,7 @@
   uint64_t list_digest = 0;
   bool has_list = false;
   std::vector<std::unique_ptr<bth::fleet::frames::TargetT>> list{};
+  uint64_t agreed_index = 0;
   RelayT() = default;
   RelayT(const RelayT &o);
   RelayT(RelayT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1026,7 +1027,8 @@
     VT_LIST_AGE_MS = 8,
     VT_LIST_DIGEST = 10,
     VT_HAS_LIST = 12,
-    VT_LIST = 14
+    VT_LIST = 14,
+    VT_AGREED_INDEX = 16
   };
   const bth::fleet::frames::ControlHost *host() const {
     return GetPointer<const bth::fleet::frames::ControlHost *>(VT_HOST);
@@ -1046,6 +1048,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::Target>> *list() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::Target>> *>(VT_LIST);
   }
+  uint64_t agreed_index() const {
+    return GetField<uint64_t>(VT_AGREED_INDEX, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -1059,6 +1064,7 @@
            VerifyOffset(verifier, VT_LIST) &&
            verifier.VerifyVector(list()) &&
            verifier.VerifyVectorOfTables(list()) &&
+           VerifyField<uint64_t>(verifier, VT_AGREED_INDEX, 8) &&
            verifier.EndTable();
   }
   RelayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1088,6 +1094,9 @@
   void add_list(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::Target>>> list) {
     fbb_.AddOffset(Relay::VT_LIST, list);
   }
+  void add_agreed_index(uint64_t agreed_index) {
+    fbb_.AddElement<uint64_t>(Relay::VT_AGREED_INDEX, agreed_index, 0);
+  }
   explicit RelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1106,8 +1115,10 @@
     uint32_t list_age_ms = 0,
     uint64_t list_digest = 0,
     bool has_list = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::Target>>> list = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::Target>>> list = 0,
+    uint64_t agreed_index = 0) {
   RelayBuilder builder_(_fbb);
+  builder_.add_agreed_index(agreed_index);
   builder_.add_list_digest(list_digest);
   builder_.add_list(list);
   builder_.add_list_age_ms(list_age_ms);
@@ -1124,7 +1135,8 @@
     uint32_t list_age_ms = 0,
     uint64_t list_digest = 0,
     bool has_list = false,
-    const std::vector<flatbuffers::Offset<bth::fleet::frames::Target>> *list = nullptr) {
+    const std::vector<flatbuffers::Offset<bth::fleet::frames::Target>> *list = nullptr,
+    uint64_t agreed_index = 0) {
   auto entry_hosts__ = entry_hosts ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::EntryHost>>(*entry_hosts) : 0;
   auto list__ = list ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::Target>>(*list) : 0;
   return bth::fleet::frames::CreateRelay(
@@ -1134,7 +1146,8 @@
       list_age_ms,
       list_digest,
       has_list,
-      list__);
+      list__,
+      agreed_index);
 }
 
 flatbuffers::Offset<Relay> CreateRelay(flatbuffers::FlatBufferBuilder &_fbb, const RelayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1724,7 +1737,8 @@
       : host((o.host) ? new bth::fleet::frames::ControlHostT(*o.host) : nullptr),
         list_age_ms(o.list_age_ms),
         list_digest(o.list_digest),
-        has_list(o.has_list) {
+        has_list(o.has_list),
+        agreed_index(o.agreed_index) {
   entry_hosts.reserve(o.entry_hosts.size());
   for (const auto &entry_hosts_ : o.entry_hosts) { entry_hosts.emplace_back((entry_hosts_) ? new bth::fleet::frames::EntryHostT(*entry_hosts_) : nullptr); }
   list.reserve(o.list.size());
@@ -1738,6 +1752,7 @@
   std::swap(list_digest, o.list_digest);
   std::swap(has_list, o.has_list);
   std::swap(list, o.list);
+  std::swap(agreed_index, o.agreed_index);
   return *this;
 }
 
@@ -1756,6 +1771,7 @@
   { auto _e = list_digest(); _o->list_digest = _e; }
   { auto _e = has_list(); _o->has_list = _e; }
   { auto _e = list(); if (_e) { _o->list.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->list[_i] = std::unique_ptr<bth::fleet::frames::TargetT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = agreed_index(); _o->agreed_index = _e; }
 }
 
 inline flatbuffers::Offset<Relay> Relay::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1772,6 +1788,7 @@
   auto _list_digest = _o->list_digest;
   auto _has_list = _o->has_list;
   auto _list = _o->list.size() ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::Target>> (_o->list.size(), [](size_t i, _VectorArgs *__va) { return CreateTarget(*__va->__fbb, __va->__o->list[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _agreed_index = _o->agreed_index;
   return bth::fleet::frames::CreateRelay(
       _fbb,
       _host,
@@ -1779,7 +1796,8 @@
       _list_age_ms,
       _list_digest,
       _has_list,
-      _list);
+      _list,
+      _agreed_index);
 }
 
 inline CommandT *Command::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/bth/fleet/messages.cpp
+++ b/bth/fleet/messages.cpp
@@ -200,6 +200,7 @@
     if (from.list) {
         out.list = pack_all<frames::TargetT>(*from.list);
     }
+    out.agreed_index = from.index.value();
     return out;
 }
 
@@ -216,6 +217,7 @@
     if (from.has_list) {
         out.list = unpack_all<dispatch::target_info>(from.list);
     }
+    out.index = agreed_index{from.agreed_index};
     return out;
 }
 
--- a/bth/fleet/messages.h
+++ b/bth/fleet/messages.h
@@ -73,8 +73,9 @@
 struct update {
     // The incarnation of the sending control host.
     incarnation incarnation_number;
-    // Whether the control host is in contact with the others: it knows a leader and has a recent
-    // reading of the platform's list. A control host that isn't is called isolated.
+    // Whether the control host is in contact with the others: it takes part in the group under a
+    // leader that it hears, holds what the others hold, and has a recent reading of the platform's
+    // list. A control host that isn't is called isolated.
     bool in_contact{};
     route::config_version version;
     agreed_index index;
@@ -103,6 +104,8 @@
     duration list_age{};
     std::uint64_t list_digest{};
     std::optional<std::vector<dispatch::target_info>> list;
+    // What the sender holds of the agreed state; 0 if it doesn't say so.
+    agreed_index index;
 };
 
 // A command that replaces the configuration in the agreed state.
--- a/bth/fleet/messages_test.cpp
+++ b/bth/fleet/messages_test.cpp
@@ -95,13 +95,14 @@
 
 TEST(fleet_messages, a_relay_survives_encoding)
 {
-    const auto decoded =
-        decode(encode(relay{{"10.1.0.2", "north"}, {host}, 30ms, 77, std::vector{facts}}));
+    const auto decoded = decode(encode(
+        relay{{"10.1.0.2", "north"}, {host}, 30ms, 77, std::vector{facts}, agreed_index{5}}));
     const auto& received = std::get<relay>(*decoded);
     CHECK_TRUE(received.entry_hosts.front() == host);
     CHECK(received.list_age == 30ms);
     LONGS_EQUAL(77, received.list_digest);
     CHECK_TRUE(received.list->front() == facts);
+    LONGS_EQUAL(5, received.index.value());
 }
 
 TEST(fleet_messages, truncated_or_damaged_bytes_are_rejected)
