Let a control host whose disk was full take part again

Its entry hosts lost their nearest control host, an order that it had taken waited 2.5 s for a 503 and then was redirected to that same host, and the group had one voter less than it is built to lose.

Cause: a member of the group stops for good when a write fails, which is right for what it has in memory, and nothing started it again.

The drivers of both control programs try that every second. Requests that wait for a stopped member get their outcome, unknown, at once; a stopped member names no leader. Ending the process instead would restart it too, but a platform counts that as a crash, and look-ups and relays of the host would be lost with it. Damage stays final.

--- a/bth/consensus/member.h
+++ b/bth/consensus/member.h
@@ -7,7 +7,8 @@
 //   for (auto& each : opened->take_messages()) { ... }
 //   for (auto& each : opened->take_results()) { ... }
 //
-// Once a write fails the member stops: it sends nothing more, and failure() tells why.
+// Once a write fails the member stops: it sends nothing more, and failure() tells why. resume()
+// lets it take part again.
 #pragma once
 
 #include "bth/consensus/codec.h"
@@ -71,6 +72,12 @@
     static tl::expected<member, storage::storage_error>
     open(Disk disk, const member_settings& settings, Machine machine, time_point now);
 
+    // Lets a stopped member take part again from what the disk holds, as a restarted process would.
+    // The requests that it had taken get no result. The state machine starts from the last snapshot
+    // and serves again once status().caught_up says so. Errors, after which the member stays
+    // stopped: the disk takes no writes yet, or it doesn't hold what it should.
+    storage::disk_result resume(time_point now);
+
     void tick(time_point now)
     {
         this->run(now, [&] { this->core.tick(now); });
@@ -102,12 +109,13 @@
     const Machine& state() const { return this->machine; }
     // The last entry that the state machine holds.
     log_index applied_index() const { return this->applied; }
-    // A member that has stopped neither leads nor serves.
+    // A member that has stopped neither leads nor serves, and hears no leader.
     replica_status status(time_point now) const
     {
         auto now_is = this->core.status(now);
         if (this->failed) {
             now_is.role = replica_role::follower;
+            now_is.leader.reset();
             now_is.holds_lease = false;
             now_is.caught_up = false;
         }
@@ -118,10 +126,10 @@
     const std::optional<storage::cut_tail>& cut_at_start() const { return this->cut; }
 
 private:
-    member(storage::journal<Disk> journal, Machine machine, const restored_state& restored,
-           const member_settings& settings, time_point now)
-        : journal{std::move(journal)}, machine{std::move(machine)},
-          core{restored, settings.replica, settings.seed, now}, log_bytes{settings.log_bytes}
+    member(storage::journal<Disk> journal, Machine initial, Machine machine,
+           const restored_state& restored, const member_settings& settings, time_point now)
+        : journal{std::move(journal)}, settings{settings}, initial{std::move(initial)},
+          machine{std::move(machine)}, core{restored, settings.replica, settings.seed, now}
     {}
 
     static tl::unexpected<storage::storage_error> refuse(storage::storage_error_kind kind,
@@ -151,9 +159,11 @@
     void compact_if_grown(time_point now);
 
     storage::journal<Disk> journal;
+    member_settings settings;
+    // The state machine without a command.
+    Machine initial;
     Machine machine;
     replica core;
-    std::uint64_t log_bytes;
     std::uint64_t next_compaction{};
     log_index applied;
     std::vector<envelope> messages;
@@ -243,17 +253,66 @@
     if (!restored) {
         return tl::make_unexpected(restored.error());
     }
+    auto initial = machine;
     if (restored->taken != nullptr && !machine.restore(restored->taken->data)) {
         return refuse(storage::storage_error_kind::damaged, "snapshot",
                       "the state in it can't be read");
     }
-    member made{std::move(journal), std::move(machine), *restored, settings, now};
+    member made{std::move(journal), std::move(initial), std::move(machine),
+                *restored,          settings,           now};
     made.applied = made.core.commit_index();
     made.cut = contents->cut;
-    made.next_compaction = made.journal.log_size() + made.log_bytes;
+    made.next_compaction = made.journal.log_size() + settings.log_bytes;
     return made;
 }
 
+template <storage::disk Disk, state_machine Machine>
+storage::disk_result member<Disk, Machine>::resume(time_point now)
+{
+    using storage::storage_error_kind;
+    if (!this->failed) {
+        return {};
+    }
+    const auto stay_stopped = [this](storage::storage_error error) -> storage::disk_result {
+        this->failed = error;
+        return tl::make_unexpected(std::move(error));
+    };
+    if (this->failed->kind != storage_error_kind::io) {
+        return tl::make_unexpected(*this->failed);
+    }
+    const auto contents = this->journal.reopen();
+    if (!contents) {
+        return stay_stopped(contents.error());
+    }
+    const auto identity = contents->identity ? decode_identity(*contents->identity) : std::nullopt;
+    if (!identity || identity->self != this->core.status(now).self) {
+        return stay_stopped({storage_error_kind::damaged, "identity", 0,
+                             "it isn't the one that this member was started with"});
+    }
+    const auto restored = restore(*identity, *contents);
+    if (!restored) {
+        return stay_stopped(restored.error());
+    }
+    auto restored_machine = this->initial;
+    if (restored->taken != nullptr && !restored_machine.restore(restored->taken->data)) {
+        return stay_stopped(
+            {storage_error_kind::damaged, "snapshot", 0, "the state in it can't be read"});
+    }
+    // A record that repeats what is known shows whether the disk takes writes.
+    const auto written = this->journal.append(encode(durable_batch{restored->state, {}}));
+    if (!written) {
+        return stay_stopped(written.error());
+    }
+    this->machine = std::move(restored_machine);
+    this->core = replica{*restored, this->settings.replica, this->settings.seed, now};
+    this->applied = this->core.commit_index();
+    this->messages.clear();
+    this->results.clear();
+    this->next_compaction = this->journal.log_size() + this->settings.log_bytes;
+    this->failed.reset();
+    return {};
+}
+
 template <storage::disk Disk, state_machine Machine>
 void member<Disk, Machine>::carry_out(time_point now)
 {
@@ -329,7 +388,7 @@
         return;
     }
     auto state = this->machine.snapshot();
-    const auto growth = std::max<std::uint64_t>(this->log_bytes, state.size());
+    const auto growth = std::max<std::uint64_t>(this->settings.log_bytes, state.size());
     this->core.compact(std::move(state));
     const auto out = this->core.take_output();
     if (this->persist(out) && out.must_persist()) {
--- a/bth/consensus/recovery_test.cpp
+++ b/bth/consensus/recovery_test.cpp
@@ -139,6 +139,56 @@
     CHECK_TRUE(group.status(behind).caught_up);
 }
 
+TEST(recovery, member_whose_disk_was_full_takes_part_again_and_loses_nothing)
+{
+    for (const bool leads : {true, false}) {
+        fake_group group{5, 3};
+        group.resumes_after_failure = true;
+        group.run(3s);
+        STRCMP_EQUAL("a accepted as 1", submit(group, "a").c_str());
+        const auto full = (group.leader().value() + (leads ? 0 : 1)) % 3;
+        const auto other = (full + 1) % 3;
+        group.fail_disk_after(full, 0);
+        submit(group, "b");
+        group.run(3s);
+        CHECK_TRUE(group.at(full).failure().has_value());
+        CHECK_FALSE(group.status(full).leader.has_value());
+        CHECK_FALSE(group.status(full).caught_up);
+        CHECK_FALSE(submit(group, "b").empty());
+        group.repair_disk(full);
+        group.run(3s);
+        CHECK_FALSE(group.at(full).failure().has_value());
+        CHECK_TRUE(group.status(full).caught_up);
+        UNSIGNED_LONGS_EQUAL(2, group.at(full).state().accepted.size());
+        // It counts in a majority again, also after a loss of power.
+        group.power_off(other);
+        group.run(3s);
+        STRCMP_EQUAL("c accepted as 3", submit(group, "c").c_str());
+        group.power_off(full);
+        group.restart(full);
+        group.run(3s);
+        UNSIGNED_LONGS_EQUAL(3, group.at(full).state().accepted.size());
+        CHECK_TRUE(group.violations().empty());
+    }
+}
+
+TEST(recovery, member_whose_disk_stays_full_tries_again_and_stays_stopped)
+{
+    fake_group group{7, 3};
+    group.resumes_after_failure = true;
+    group.run(3s);
+    const auto full = (group.leader().value() + 1) % 3;
+    group.fail_disk_after(full, 0);
+    submit(group, "a");
+    const auto term = group.status(*group.leader()).term;
+    group.run(30s);
+    CHECK_TRUE(group.at(full).failure().has_value());
+    // Its attempts disturb nobody.
+    CHECK_TRUE(group.status(*group.leader()).term == term);
+    CHECK_FALSE(submit(group, "b").empty());
+    CHECK_TRUE(group.violations().empty());
+}
+
 TEST(recovery, full_disk_stops_the_member_and_the_others_go_on)
 {
     fake_group group{4, 3};
--- a/bth/consensus/testing/fake_group.cpp
+++ b/bth/consensus/testing/fake_group.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr duration tick_interval = std::chrono::milliseconds{20};
+constexpr duration resume_interval = std::chrono::seconds{1};
 constexpr std::int64_t thousand = 1000;
 // Clocks differ by up to this many thousandths, which the lease's margin covers.
 constexpr std::int64_t clock_spread = 20;
@@ -64,10 +65,29 @@
     this->after(tick_interval, [this, index] { this->tick(index); });
     auto& each = this->hosts.at(index);
     if (each.process && !each.frozen) {
+        this->resume_if_due(index);
         this->step(index, [&] { each.process->tick(this->local_time(each)); });
     }
 }
 
+void fake_group::resume_if_due(std::size_t index)
+{
+    auto& each = this->hosts.at(index);
+    if (!each.process->failure() || this->clock < each.resume_due) {
+        return;
+    }
+    each.resume_due = this->clock + resume_interval;
+    if (each.process->resume(this->local_time(each))) {
+        // As after a restart, the state machine begins with what the disk holds.
+        each.compared = 0;
+        each.applied = {};
+        this->check(index);
+    }
+    else if (each.process->failure()->kind != storage::storage_error_kind::io) {
+        this->violation(each.name + " can't resume: " + to_string(*each.process->failure()));
+    }
+}
+
 template <class Step>
 void fake_group::step(std::size_t index, Step action)
 {
@@ -89,7 +109,7 @@
             this->after({}, [call = std::move(handler.mapped()), result] { call(result); });
         }
     }
-    if (each.process->failure()) {
+    if (each.process->failure() && !this->resumes_after_failure) {
         this->kill(index);
     }
 }
@@ -291,6 +311,11 @@
     this->hosts.at(host).medium->fails_after = writes;
 }
 
+void fake_group::repair_disk(std::size_t host)
+{
+    this->hosts.at(host).medium->fails_after.reset();
+}
+
 void fake_group::cut(std::size_t from, std::size_t to, bool on)
 {
     if (on) {
--- a/bth/consensus/testing/fake_group.h
+++ b/bth/consensus/testing/fake_group.h
@@ -69,6 +69,7 @@
     // Whether a majority of these members' disks would live if the host were taken out.
     bool can_remove(std::size_t host, configuration members) const;
     void fail_disk_after(std::size_t host, std::size_t writes);
+    void repair_disk(std::size_t host);
     void cut(std::size_t from, std::size_t to, bool on);
     void heal();
 
@@ -88,6 +89,8 @@
     // within one take least_delay.
     std::vector<std::size_t> regions;
     std::uint64_t log_bytes{2000};
+    // Whether a process whose disk fails lives on and tries to take part again; otherwise it ends.
+    bool resumes_after_failure{};
     // How many hosts, counted from the first, a process that starts is told as seeds; all if unset.
     std::optional<std::size_t> seed_count;
     // What a sync takes, before the messages that wait for it leave.
@@ -104,6 +107,8 @@
         std::optional<test_member> process;
         bool frozen{};
         std::vector<envelope> inbox;
+        // While the member is stopped: when it tries to take part again.
+        time_point resume_due;
         // Its clock: where it started and how fast it runs, in thousandths.
         duration clock_offset{};
         std::int64_t clock_rate{1000};
@@ -125,6 +130,7 @@
     template <class Step>
     void step(std::size_t index, Step action);
     void collect(std::size_t index);
+    void resume_if_due(std::size_t index);
     bool lives_without(const configuration& members, std::size_t host) const;
     request_token remember(result_handler handler);
     void check(std::size_t index);
--- a/bth/consensus/testing/schedule.cpp
+++ b/bth/consensus/testing/schedule.cpp
@@ -17,7 +17,10 @@
 
 class schedule {
 public:
-    explicit schedule(std::uint64_t seed) : group{seed, seed % 2 == 0 ? 3U : 5U} {}
+    explicit schedule(std::uint64_t seed) : group{seed, seed % 2 == 0 ? 3U : 5U}
+    {
+        this->group.resumes_after_failure = seed % 3 == 0;
+    }
 
     schedule_outcome run()
     {
@@ -82,13 +85,24 @@
             break;
         case 6:
             this->group.fail_disk_after(host, this->up_to(8));
-            this->group.after(500ms, [=, this] { this->kill(host); });
+            this->group.after(500ms, [=, this] { this->end_disk_failure(host); });
             break;
         default:
             this->change_members(host);
         }
     }
 
+    void end_disk_failure(std::size_t host)
+    {
+        if (this->group.resumes_after_failure) {
+            this->group.after(this->any_time(0ms, 3s),
+                              [=, this] { this->group.repair_disk(host); });
+        }
+        else {
+            this->kill(host);
+        }
+    }
+
     void kill(std::size_t host)
     {
         ++this->outcome.kills;
--- a/bth/control/replicated_proposer.cpp
+++ b/bth/control/replicated_proposer.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::chrono::milliseconds tick_interval{20};
 constexpr std::chrono::seconds request_limit{5};
+// Interval of attempts to take part again after the log couldn't be written.
+constexpr std::chrono::seconds resume_interval{1};
 // A peer that hasn't answered its leader for this long counts as unreachable.
 constexpr std::chrono::milliseconds unreachable_after{1000};
 
@@ -111,7 +113,13 @@
 
 void replicated_proposer::tick()
 {
-    this->member.tick(shell::monotonic_now());
+    const auto now = shell::monotonic_now();
+    if (this->member.failure() && now >= this->resume_due) {
+        this->resume_due = now + resume_interval;
+        // A failed attempt leaves the reason in failure().
+        (void)this->member.resume(now);
+    }
+    this->member.tick(now);
     this->flush();
     this->timer.expires_after(tick_interval);
     this->timer.async_wait([self = this->shared_from_this()](const auto& error) {
@@ -146,14 +154,29 @@
             found->second->timer.cancel();
         }
     }
-    if (this->member.failure() && !this->failure_reported) {
-        this->failure_reported = true;
-        LOG4CPLUS_ERROR(this->log,
-                        "Stopped taking part: " << to_string(*this->member.failure()) << ".");
-    }
+    this->report_failure();
     this->report_changes(this->member.status(shell::monotonic_now()));
 }
 
+void replicated_proposer::report_failure()
+{
+    const auto& failure = this->member.failure();
+    if (failure.has_value() == this->failure_reported) {
+        return;
+    }
+    this->failure_reported = failure.has_value();
+    if (!failure) {
+        LOG4CPLUS_INFO(this->log, "Takes part again.");
+        return;
+    }
+    LOG4CPLUS_ERROR(this->log, "Stopped taking part: " << to_string(*failure) << ".");
+    this->resume_due = shell::monotonic_now() + resume_interval;
+    // A stopped member answers none of them.
+    for (const auto& [token, each] : this->waiting) {
+        each->timer.cancel();
+    }
+}
+
 void replicated_proposer::report_changes(const replica_status& now_is)
 {
     const auto role = role_name(now_is);
@@ -181,7 +204,7 @@
     this->waiting.emplace(token, mine);
     take(token);
     this->flush();
-    if (!mine->result) {
+    if (!mine->result && !this->member.failure()) {
         boost::system::error_code ended;
         co_await mine->timer.async_wait(
             boost::asio::redirect_error(boost::asio::use_awaitable, ended));
--- a/bth/control/replicated_proposer.h
+++ b/bth/control/replicated_proposer.h
@@ -75,6 +75,8 @@
     void tick();
     // Sends and answers what the member has put out.
     void flush();
+    // Logs that the member stopped or takes part again, and ends the waits for a stopped one.
+    void report_failure();
     void report_changes(const consensus::replica_status& now_is);
     proposal_failure failure_of(const consensus::request_answer& answer) const;
     proposal_failure disk_failure(run_state accepted) const;
@@ -91,6 +93,8 @@
     std::uint64_t next_token{1};
     std::string last_role;
     bool failure_reported{};
+    // While the member is stopped: when to try to resume it.
+    time_point resume_due;
     bool stopping{};
 };
 
--- a/bth/fleet/group_driver.h
+++ b/bth/fleet/group_driver.h
@@ -86,7 +86,8 @@
     }
 
     // Proposes a command and returns its result once it is committed or rejected. Returns nothing
-    // if there was no result in time: the outcome is unknown then.
+    // if there was no result in time, or at once if the log can't be written: the outcome is
+    // unknown then.
     boost::asio::awaitable<std::optional<result_type>> propose(std::string command)
     {
         return this->request([this, command = std::move(command)](auto token) {
@@ -129,6 +130,9 @@
 private:
     using request_action = std::function<void(consensus::request_token)>;
 
+    // Interval of attempts to resume after the log couldn't be written. Each one reads the log,
+    // which takes milliseconds.
+    static constexpr std::chrono::seconds resume_interval{1};
     // Shorter ticks would only cost processor time on the followers: election timeouts are twenty
     // to thirty times as long.
     static constexpr std::chrono::milliseconds tick_interval{30};
@@ -159,7 +163,7 @@
         this->pending.emplace(token, awaited);
         submit(token);
         this->flush();
-        if (!awaited->result && !this->stopping) {
+        if (!awaited->result && !this->stopping && !this->member.failure()) {
             boost::system::error_code ignored;
             co_await awaited->timer.async_wait(
                 boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
@@ -182,7 +186,13 @@
 
     void tick()
     {
-        this->member.tick(shell::monotonic_now());
+        const auto now = shell::monotonic_now();
+        if (this->member.failure() && now >= this->resume_due) {
+            this->resume_due = now + resume_interval;
+            // A failed attempt leaves the reason in failure().
+            (void)this->member.resume(now);
+        }
+        this->member.tick(now);
         this->flush();
         this->timer.expires_after(tick_interval);
         this->timer.async_wait([self = this->shared_from_this()](const auto& error) {
@@ -207,9 +217,23 @@
                 waiting_request->second->timer.cancel();
             }
         }
+        this->give_up_requests_after_failure();
         this->progress_handler();
     }
 
+    // Ends the waits of requests that a stopped member won't answer.
+    void give_up_requests_after_failure()
+    {
+        const bool failed = this->member.failure().has_value();
+        if (failed && !this->was_failed) {
+            this->resume_due = shell::monotonic_now() + resume_interval;
+            for (const auto& [token, entry] : this->pending) {
+                entry->timer.cancel();
+            }
+        }
+        this->was_failed = failed;
+    }
+
     boost::asio::io_context* context;
     duration request_timeout;
     group_member member;
@@ -218,6 +242,9 @@
     boost::asio::steady_timer timer;
     std::map<consensus::request_token, std::shared_ptr<pending_request>> pending;
     std::uint64_t next_token{1};
+    // While the member is stopped: when to try to resume it.
+    time_point resume_due;
+    bool was_failed{};
     bool stopping{};
 };
 
--- a/bth/storage/journal.h
+++ b/bth/storage/journal.h
@@ -6,8 +6,8 @@
 //   auto saved = kept.append(record);      // durable once it returns without an error
 //   auto replaced = kept.replace(snapshot, records_behind_it);
 //
-// After an error every later call returns that error and writes nothing: what the disk holds is
-// known again only after a restart.
+// After an error every later call returns that error and writes nothing, until reopen() has read
+// what the disk holds.
 #pragma once
 
 #include "bth/storage/disk.h"
@@ -45,6 +45,11 @@
     // Reads everything, and cuts off a torn tail. Damage is an error and changes no file.
     tl::expected<journal_contents, storage_error> open();
 
+    // After an error: cuts off what a failed append left behind the records that were durable, then
+    // reads everything as open() does. Nothing of that tail was ever told to anyone, and a system
+    // that reported a failed sync once may call the same bytes synced later.
+    tl::expected<journal_contents, storage_error> reopen();
+
     // Gives a blank folder its owner. A crash in between leaves it blank.
     disk_result create(const std::string& identity);
 
@@ -90,8 +95,24 @@
     record_chain chain{0};
     std::uint64_t size{};
     std::optional<storage_error> failure;
+    // Whether an append failed, so that the log may be longer than `size`.
+    bool has_failed_tail{};
 };
 
+template <disk Disk>
+tl::expected<journal_contents, storage_error> journal<Disk>::reopen()
+{
+    if (this->has_failed_tail) {
+        auto cut = this->files.truncate_synced(log_name, this->size);
+        if (!cut) {
+            return tl::make_unexpected(std::move(cut.error()));
+        }
+        this->has_failed_tail = false;
+    }
+    this->failure.reset();
+    return this->open();
+}
+
 template <disk Disk>
 tl::expected<journal_contents, storage_error> journal<Disk>::open()
 {
@@ -228,7 +249,12 @@
     if (done) {
         done = this->files.sync(log_name);
     }
-    this->size += bytes.size();
+    if (done) {
+        this->size += bytes.size();
+    }
+    else {
+        this->has_failed_tail = true;
+    }
     return this->checked(std::move(done));
 }
 
--- a/bth/storage/journal_test.cpp
+++ b/bth/storage/journal_test.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -146,6 +147,54 @@
     }
 }
 
+TEST(journal, reopened_journal_holds_what_was_durable_and_nothing_of_a_failed_append)
+{
+    // Each number of writes that succeed before the disk is full, and a repair after it.
+    for (std::size_t writes = 0; writes < 12; ++writes) {
+        auto medium = medium_with(3);
+        test_journal kept{fake_disk{medium}};
+        CHECK_TRUE(kept.open().has_value());
+        medium->fails_after = writes;
+        std::vector<std::string> durable{"record 0", "record 1", "record 2"};
+        for (int i = 3; i < 10; ++i) {
+            const auto record = "record " + std::to_string(i);
+            if (!kept.append(record)) {
+                break;
+            }
+            durable.push_back(record);
+        }
+        CHECK_FALSE(kept.append("after the failure").has_value());
+        CHECK_FALSE(kept.reopen().has_value());
+        CHECK_FALSE(kept.append("still full").has_value());
+        medium->fails_after.reset();
+        const auto contents = kept.reopen();
+        CHECK_TRUE(contents.has_value());
+        CHECK_TRUE(contents->records == durable);
+        CHECK_TRUE(kept.append("after the repair").has_value());
+        durable.emplace_back("after the repair");
+        test_journal again{fake_disk{medium}};
+        CHECK_TRUE(again.open()->records == durable);
+    }
+}
+
+TEST(journal, reopened_journal_holds_the_old_or_the_new_snapshot_after_a_failed_replacement)
+{
+    for (std::size_t writes = 0; writes < 6; ++writes) {
+        auto medium = medium_with(3);
+        test_journal kept{fake_disk{medium}};
+        CHECK_TRUE(kept.open().has_value());
+        medium->fails_after = writes;
+        CHECK_FALSE(kept.replace("state", {"after 1"}).has_value());
+        medium->fails_after.reset();
+        const auto contents = kept.reopen();
+        CHECK_TRUE(contents.has_value());
+        CHECK_TRUE(contents->records.size() == 3 || contents->snapshot == "state");
+        CHECK_TRUE(kept.append("after the repair").has_value());
+        test_journal again{fake_disk{medium}};
+        CHECK_TRUE(again.open()->records.back() == "after the repair");
+    }
+}
+
 TEST(journal, full_disk_stops_all_later_writes)
 {
     auto medium = medium_with(1);
