Send nothing of an agreed state older than one shown before a restart

Cause: consensus says by caught_up from when a state may be shown. control_host didn't ask for it.

attachment_table sends the state only of a control host that has caught up. Its test came with the field that it needs and wasn't run against the former code.

--- a/bth/fleet/attachment_table.cpp
+++ b/bth/fleet/attachment_table.cpp
@@ -179,8 +179,9 @@
         !redirect && view.catalog->was_read() &&
         (view.in_contact || now - recipient.attached_since > isolated_full_list_delay);
     const auto revision = include_targets ? view.catalog->revision() : held.targets;
+    const bool may_include_state = !redirect && view.caught_up;
     const bool include_state =
-        !redirect && (state.index > held.index || state.version > held.version);
+        may_include_state && (state.index > held.index || state.version > held.version);
     const auto list = this->lists.find(this->region_of(recipient.host.domain));
     const bool include_list =
         !redirect && list != this->lists.end() && list->second.version != recipient.sent_list;
@@ -190,7 +191,7 @@
         return std::nullopt;
     }
     shared_key shared;
-    if (!redirect && state.version > held.version) {
+    if (may_include_state && state.version > held.version) {
         shared.text = state.version;
     }
     if (held.targets != revision) {
@@ -206,9 +207,9 @@
     auto& own = due.own;
     own.incarnation_number = view.own_incarnation;
     own.in_contact = view.in_contact;
-    own.version = state.version;
-    own.index = redirect ? held.index : state.index;
-    if (!redirect && state.index >= held.index) {
+    own.version = may_include_state ? state.version : held.version;
+    own.index = may_include_state ? state.index : held.index;
+    if (may_include_state && state.index >= held.index) {
         own.evacuated = state.evacuated;
     }
     own.targets.revision = revision;
@@ -221,8 +222,8 @@
     own.entry_rank = static_cast<std::uint32_t>(own_place - hosts.begin());
     recipient.last_sent_at = now;
     if (!redirect) {
-        recipient.held.record_sent(now, {std::max(held.version, state.version),
-                                         std::max(held.index, state.index), revision});
+        recipient.held.record_sent(
+            now, {std::max(held.version, own.version), std::max(held.index, own.index), revision});
     }
     recipient.sent_in_contact = view.in_contact;
     return due;
--- a/bth/fleet/attachment_table.h
+++ b/bth/fleet/attachment_table.h
@@ -39,6 +39,9 @@
 struct control_view {
     incarnation own_incarnation;
     bool in_contact{};
+    // Whether `agreed` is at least as new as any that this host showed before a restart. Nothing of
+    // an older state is sent.
+    bool caught_up{};
     const agreed_state* agreed{};
     const target_catalog* catalog{};
     // This control host and the others of the group, ordered by name.
--- a/bth/fleet/attachment_table_test.cpp
+++ b/bth/fleet/attachment_table_test.cpp
@@ -37,6 +37,7 @@
     target_catalog catalog;
     std::vector<entry_host> in_service;
     std::set<std::string> connected{"c2", "c3"};
+    bool caught_up{true};
 
     fixture()
     {
@@ -47,13 +48,10 @@
     }
     control_view view() const
     {
-        return {own_life,
-                true,
-                &this->agreed,
-                &this->catalog,
-                {{"c1", "n1"}, {"c2", "n2"}, {"c3", "s1"}},
-                this->connected,
-                this->in_service};
+        return {own_life,        true,
+                this->caught_up, &this->agreed,
+                &this->catalog,  {{"c1", "n1"}, {"c2", "n2"}, {"c3", "s1"}},
+                this->connected, this->in_service};
     }
     // The update that an entry host would receive now.
     std::optional<update> update_of(time_point now, const std::string& name)
@@ -83,6 +81,28 @@
 TEST_GROUP(attachment_table) {};
 // clang-format on
 
+TEST(attachment_table, state_of_a_control_host_that_has_not_caught_up_is_not_sent)
+{
+    fixture at;
+    const auto entry = host(1, "n1", true);
+    at.caught_up = false;
+    at.agreed.evacuated = {"s1"};
+    at.report_of(start, entry);
+    const auto first = at.update_of(start, entry.name);
+    CHECK_TRUE(first->text.empty());
+    CHECK_FALSE(first->evacuated.has_value());
+    LONGS_EQUAL(0, first->version.value());
+    LONGS_EQUAL(0, first->index.value());
+    CHECK_FALSE(first->targets.changed.empty());
+    at.caught_up = true;
+    at.agreed.version = bth::route::config_version{4};
+    at.agreed.index = agreed_index{2};
+    const auto second = at.update_of(start + 1ms, entry.name);
+    STRCMP_EQUAL("configuration", second->text.c_str());
+    LONGS_EQUAL(4, second->version.value());
+    CHECK_TRUE(second->evacuated == at.agreed.evacuated);
+}
+
 TEST(attachment_table, host_of_the_own_domain_gets_everything_with_its_first_update)
 {
     fixture at;
