Refuse unknown routes for now while no control host is in contact

What callers saw: 404 for a route that other hosts served. Callers don't repeat a request after a 404, so that the error of one host was final.

Cause: an entry host denied each route that its configuration lacks, however long it had heard of no newer one. This is the part of the incident that turned a host that is behind into wrong answers.

An entry host denies a route only within a second of an update of a control host in contact (route_knowledge); otherwise it answers 503 with a time to come back, which is true: the request has not run. Known routes are served as before.

Evidence: process_platform, all control hosts frozen for 1.5 s: 404 before, 503 after, and 404 again once they are back.

--- a/bth/base/reason.h
+++ b/bth/base/reason.h
@@ -15,7 +15,7 @@
     unknown_service,      // No service of that name in the configuration.
     request_too_large,    // Header or body over the limit.
     too_many_connections, // The entry host has no room for the connection.
-    not_configured,       // The entry host has no configuration yet.
+    not_configured,       // The entry host has no configuration yet, or none that must be current.
     shutting_down,        // The entry host is stopping.
     no_target,            // No target of the service can take work.
     domain_full,          // The cap of the failure domain or its region is reached.
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -106,6 +106,9 @@
                            std::optional<route::configuration> configuration)
 {
     const auto now = shell::monotonic_now();
+    if (update.in_contact) {
+        this->knowledge.record_contact(now);
+    }
     this->entry_hosts.update(now, update.entry_count, update.entry_rank);
     if (update.entry_hosts) {
         std::vector<dispatch::owner_candidate> hosts;
@@ -267,28 +270,28 @@
 std::optional<caller_response> gateway::refuse_unroutable(const served_request& request,
                                                           const std::string& id)
 {
-    if (!this->is_configured()) {
-        this->metrics.count_refusal(refusal_reason::not_configured, 0);
-        this->events->write(
-            shell::event{"refused"}.with("request", id).with("reason", "not_configured"));
-        constexpr std::chrono::milliseconds retry_after_unconfigured{300};
-        return make_refusal_response(
-            {refusal_reason::not_configured, run_state::no, retry_after_unconfigured});
-    }
     const auto path = path_without_query(view(request.message.target()));
     const auto host = host_without_port(view(request.message[http::field::host]));
-    if (this->routes.find(host, path) == nullptr) {
-        this->metrics.count_refusal(refusal_reason::unknown_service, 0);
-        this->events->write(shell::event{"refused"}
-                                .with("request", id)
-                                .with("reason", "unknown_service")
-                                .with("host", host)
-                                .with("path", path)
-                                .with("version", this->version.value()));
+    if (this->is_configured() && this->routes.find(host, path) != nullptr) {
+        return std::nullopt;
+    }
+    const bool is_denied =
+        this->is_configured() && this->knowledge.may_deny(shell::monotonic_now());
+    const auto reason =
+        is_denied ? refusal_reason::unknown_service : refusal_reason::not_configured;
+    this->metrics.count_refusal(reason, 0);
+    this->events->write(shell::event{"refused"}
+                            .with("request", id)
+                            .with("reason", to_string(reason))
+                            .with("host", host)
+                            .with("path", path)
+                            .with("version", this->version.value()));
+    if (is_denied) {
         return make_error_response(static_cast<unsigned>(http::status::not_found),
-                                   "unknown_service", false);
+                                   to_string(reason), false);
     }
-    return std::nullopt;
+    constexpr std::chrono::milliseconds retry_after_unconfigured{300};
+    return make_refusal_response({reason, run_state::no, retry_after_unconfigured});
 }
 
 boost::asio::awaitable<caller_response> gateway::serve(std::shared_ptr<served_request> request)
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "bth/gateway/target_pool.h"
 #include "bth/gateway/target_send.h"
 #include "bth/route/model.h"
+#include "bth/route/route_knowledge.h"
 #include "bth/shell/event_log.h"
 
 #include <functional>
@@ -194,6 +195,7 @@
     route::config_version version;
     fleet::agreed_index index;
     route::route_table routes;
+    route::route_knowledge knowledge;
     dispatch::target_registry board;
     dispatch::network_delays delays;
     target_connection_pool connections;
--- a/process_tests/platform_test.py
+++ b/process_tests/platform_test.py
@@ -45,6 +45,19 @@
                 got += part
         self.assertEqual(re.findall(rb"seal-p(\d)", got), [b"0", b"1", b"2", b"3", b"4"])
 
+    def test_unknown_route_is_refused_for_now_while_no_control_host_is_in_contact(self):
+        self.assertEqual(self.send("n1", "/none/x")[0], 404)
+        for each in self.controls.values():
+            each.signal(signal.SIGSTOP)
+        time.sleep(1.5)
+        status, headers, _, _ = self.send("n1", "/none/x")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["retry-after"]), 0)
+        self.assertEqual(self.send("n1", "/read/x")[0], 200)
+        for each in self.controls.values():
+            each.signal(signal.SIGCONT)
+        self.until(lambda: self.send("n1", "/none/x")[0] == 404, "the route is known to be missing again")
+
     def test_a_configuration_reaches_every_entry_host(self):
         self.put(configuration(5, {**ROUTES, "/new/": ("orders", "idempotent")}, ["orders"]))
         for domain in self.entries:
