Count a stopped member's disk as needed in the consensus schedules

Trace: at 6.2 s the disk of host 1 was taken while host 0 was stopped by a failed write. The schedule may take a disk if every member's log says that a majority lives on; the log that host 0 held in memory had the entry that makes the wiped host 2 a voter again, and its disk didn't. Two of the three voters that its disk knows were gone, which no group bears. Before members resumed in place, a failed one ended and no disk was taken meanwhile; a stopped one counts in the same way now.

--- a/bth/consensus/testing/fake_group.cpp
+++ b/bth/consensus/testing/fake_group.cpp
@@ -288,7 +288,8 @@
 bool fake_group::can_lose_disk(std::size_t host) const
 {
     for (std::size_t i = 0; i < this->hosts.size(); ++i) {
-        if (!this->running(i)) {
+        // The log that a stopped member holds in memory isn't the one on its disk.
+        if (!this->running(i) || this->at(i).failure()) {
             return false;
         }
         const auto members = this->status(i).members;
