--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -396,7 +396,7 @@
         this->reported_behind = behind;
         this->events->write(shell::event{behind ? "group_behind" : "group_caught_up"}
                                 .with("index", own.value())
-                                .with("reported_index", this->lag.awaited_index().value()),
+                                .with("reported_index", this->lag.newest_index().value()),
                             shell::event_weight::essential);
     }
 }
