Log each new reason why a control host takes no part in its group

An attempt to resume may end with another error, such as damage after a full disk, which no later attempt mends. Only the first reason was logged. Found by review.

--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -324,10 +324,10 @@
 void control_host::report_group_failure(const consensus::replica_status& group_status)
 {
     const auto failure = this->group->failure();
-    if (failure.has_value() == this->group_failure_reported) {
+    if (failure == this->reported_group_failure) {
         return;
     }
-    this->group_failure_reported = failure.has_value();
+    this->reported_group_failure = failure;
     if (!failure) {
         this->events->write(shell::event{"group_resumed"}
                                 .with("term", group_status.term.value())
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -144,7 +144,7 @@
     // Called after each step of the consensus group.
     void on_group_progress();
     void update_leader(const consensus::replica_status& group_status);
-    // Writes an event if the group stopped on this host, or resumed, since the last call.
+    // Writes an event if the group stopped on this host, for a new reason, or resumed.
     void report_group_failure(const consensus::replica_status& group_status);
 
     // Writes an event if this host fell behind the group or caught up since the last call.
@@ -199,7 +199,7 @@
     agreement_lag lag;
     // Whether the last written event said that this host doesn't follow the group.
     bool reported_behind{};
-    bool group_failure_reported{};
+    std::optional<std::string> reported_group_failure;
     relay_schedule relays;
     bool list_read_in_flight{};
     // The number of calls of the last reading of the list here, 0 if there was none.
