Deny routes only with the whole agreed state, and also while the list of targets is down

What callers would see: 503 for routes that never existed while the platform's list of targets is down, and 404 for routes that exist from an entry host that was just redirected, holds more than its control host, or couldn't read the newest configuration.

Cause: the right to deny a route came with in_contact, which says how recent the list is, and not whether the recipient holds all that was agreed on.

An update says so itself (state_is_current).

The test of attachment_table came with the field.

--- a/bth/fleet/attachment_table.cpp
+++ b/bth/fleet/attachment_table.cpp
@@ -212,6 +212,7 @@
     if (may_include_state && state.index >= held.index) {
         own.evacuated = state.evacuated;
     }
+    own.state_is_current = view.follows_group && may_include_state && state.index >= held.index;
     own.targets.revision = revision;
     own.control_hosts = view.control_hosts;
     const auto& hosts = view.entry_hosts;
--- a/bth/fleet/attachment_table.h
+++ b/bth/fleet/attachment_table.h
@@ -39,6 +39,8 @@
 struct control_view {
     incarnation own_incarnation;
     bool in_contact{};
+    // Whether this host holds what the group agrees on, apart from what is on its way.
+    bool follows_group{};
     // Whether `agreed` is at least as new as any that this host showed before a restart. Nothing of
     // an older state is sent.
     bool caught_up{};
--- a/bth/fleet/attachment_table_test.cpp
+++ b/bth/fleet/attachment_table_test.cpp
@@ -37,6 +37,7 @@
     target_catalog catalog;
     std::vector<entry_host> in_service;
     std::set<std::string> connected{"c2", "c3"};
+    bool follows_group{true};
     bool caught_up{true};
 
     fixture()
@@ -48,10 +49,15 @@
     }
     control_view view() const
     {
-        return {own_life,        true,
-                this->caught_up, &this->agreed,
-                &this->catalog,  {{"c1", "n1"}, {"c2", "n2"}, {"c3", "s1"}},
-                this->connected, this->in_service};
+        return {own_life,
+                true,
+                this->follows_group,
+                this->caught_up,
+                &this->agreed,
+                &this->catalog,
+                {{"c1", "n1"}, {"c2", "n2"}, {"c3", "s1"}},
+                this->connected,
+                this->in_service};
     }
     // The update that an entry host would receive now.
     std::optional<update> update_of(time_point now, const std::string& name)
@@ -94,6 +100,7 @@
     LONGS_EQUAL(0, first->version.value());
     LONGS_EQUAL(0, first->index.value());
     CHECK_FALSE(first->targets.changed.empty());
+    CHECK_FALSE(first->state_is_current);
     at.caught_up = true;
     at.agreed.version = bth::route::config_version{4};
     at.agreed.index = agreed_index{2};
@@ -101,6 +108,27 @@
     STRCMP_EQUAL("configuration", second->text.c_str());
     LONGS_EQUAL(4, second->version.value());
     CHECK_TRUE(second->evacuated == at.agreed.evacuated);
+    CHECK_TRUE(second->state_is_current);
+}
+
+TEST(attachment_table, update_without_the_whole_agreed_state_does_not_count_as_current)
+{
+    fixture at;
+    const auto near = host(1, "n1", true);
+    at.full_report_of(start, near);
+    CHECK_TRUE(at.update_of(start, near.name)->state_is_current);
+    // A redirect brings no state.
+    const auto redirected = host(2, "n2", true);
+    at.report_of(start, redirected);
+    CHECK_FALSE(at.update_of(start, redirected.name)->state_is_current);
+    // An entry host that holds more than this control host.
+    const auto ahead = host(3, "n1", true);
+    at.attached.record_report(
+        start, ahead.name, {ahead, bth::route::config_version{9}, agreed_index{9}, {}, {}, false},
+        own_life);
+    CHECK_FALSE(at.update_of(start, ahead.name)->state_is_current);
+    at.follows_group = false;
+    CHECK_FALSE(at.update_of(start + 1s, near.name)->state_is_current);
 }
 
 TEST(attachment_table, host_of_the_own_domain_gets_everything_with_its_first_update)
--- a/bth/fleet/control_host_updates.cpp
+++ b/bth/fleet/control_host_updates.cpp
@@ -68,6 +68,7 @@
 {
     control_view view{this->link->life(),
                       this->in_contact(now),
+                      this->follows_group(now),
                       this->caught_up,
                       &this->group->machine().state(),
                       &this->catalog,
--- a/bth/fleet/internal/fleet_generated.h
+++ b/bth/fleet/internal/fleet_generated.h
@@ -745,6 +745,7 @@
   uint32_t entry_rank = 0;
   bool has_entry_hosts = false;
   std::vector<std::unique_ptr<bth::fleet::frames::EntryHostT>> entry_hosts{};
+  bool state_is_current = false;
   UpdateT() = default;
   UpdateT(const UpdateT &o);
   UpdateT(UpdateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -770,7 +771,8 @@
     VT_ENTRY_COUNT = 28,
     VT_ENTRY_RANK = 30,
     VT_HAS_ENTRY_HOSTS = 32,
-    VT_ENTRY_HOSTS = 34
+    VT_ENTRY_HOSTS = 34,
+    VT_STATE_IS_CURRENT = 36
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -820,6 +822,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>> *entry_hosts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>> *>(VT_ENTRY_HOSTS);
   }
+  bool state_is_current() const {
+    return GetField<uint8_t>(VT_STATE_IS_CURRENT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -849,6 +854,7 @@
            VerifyOffset(verifier, VT_ENTRY_HOSTS) &&
            verifier.VerifyVector(entry_hosts()) &&
            verifier.VerifyVectorOfTables(entry_hosts()) &&
+           VerifyField<uint8_t>(verifier, VT_STATE_IS_CURRENT, 1) &&
            verifier.EndTable();
   }
   UpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -908,6 +914,9 @@
   void add_entry_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>>> entry_hosts) {
     fbb_.AddOffset(Update::VT_ENTRY_HOSTS, entry_hosts);
   }
+  void add_state_is_current(bool state_is_current) {
+    fbb_.AddElement<uint8_t>(Update::VT_STATE_IS_CURRENT, static_cast<uint8_t>(state_is_current), 0);
+  }
   explicit UpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -936,7 +945,8 @@
     uint32_t entry_count = 0,
     uint32_t entry_rank = 0,
     bool has_entry_hosts = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>>> entry_hosts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>>> entry_hosts = 0,
+    bool state_is_current = false) {
   UpdateBuilder builder_(_fbb);
   builder_.add_targets_revision(targets_revision);
   builder_.add_agreed_index(agreed_index);
@@ -950,6 +960,7 @@
   builder_.add_targets(targets);
   builder_.add_evacuated(evacuated);
   builder_.add_text(text);
+  builder_.add_state_is_current(state_is_current);
   builder_.add_has_entry_hosts(has_entry_hosts);
   builder_.add_targets_whole(targets_whole);
   builder_.add_has_evacuated(has_evacuated);
@@ -974,7 +985,8 @@
     uint32_t entry_count = 0,
     uint32_t entry_rank = 0,
     bool has_entry_hosts = false,
-    const std::vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>> *entry_hosts = nullptr) {
+    const std::vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>> *entry_hosts = nullptr,
+    bool state_is_current = false) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto evacuated__ = evacuated ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*evacuated) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::Target>>(*targets) : 0;
@@ -998,7 +1010,8 @@
       entry_count,
       entry_rank,
       has_entry_hosts,
-      entry_hosts__);
+      entry_hosts__,
+      state_is_current);
 }
 
 flatbuffers::Offset<Update> CreateUpdate(flatbuffers::FlatBufferBuilder &_fbb, const UpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1633,7 +1646,8 @@
         removed(o.removed),
         entry_count(o.entry_count),
         entry_rank(o.entry_rank),
-        has_entry_hosts(o.has_entry_hosts) {
+        has_entry_hosts(o.has_entry_hosts),
+        state_is_current(o.state_is_current) {
   targets.reserve(o.targets.size());
   for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new bth::fleet::frames::TargetT(*targets_) : nullptr); }
   control_hosts.reserve(o.control_hosts.size());
@@ -1659,6 +1673,7 @@
   std::swap(entry_rank, o.entry_rank);
   std::swap(has_entry_hosts, o.has_entry_hosts);
   std::swap(entry_hosts, o.entry_hosts);
+  std::swap(state_is_current, o.state_is_current);
   return *this;
 }
 
@@ -1687,6 +1702,7 @@
   { auto _e = entry_rank(); _o->entry_rank = _e; }
   { auto _e = has_entry_hosts(); _o->has_entry_hosts = _e; }
   { auto _e = entry_hosts(); if (_e) { _o->entry_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entry_hosts[_i] = std::unique_ptr<bth::fleet::frames::EntryHostT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = state_is_current(); _o->state_is_current = _e; }
 }
 
 inline flatbuffers::Offset<Update> Update::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1713,6 +1729,7 @@
   auto _entry_rank = _o->entry_rank;
   auto _has_entry_hosts = _o->has_entry_hosts;
   auto _entry_hosts = _o->entry_hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::EntryHost>> (_o->entry_hosts.size(), [](size_t i, _VectorArgs *__va) { return CreateEntryHost(*__va->__fbb, __va->__o->entry_hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _state_is_current = _o->state_is_current;
   return bth::fleet::frames::CreateUpdate(
       _fbb,
       _life,
@@ -1730,7 +1747,8 @@
       _entry_count,
       _entry_rank,
       _has_entry_hosts,
-      _entry_hosts);
+      _entry_hosts,
+      _state_is_current);
 }
 
 inline RelayT::RelayT(const RelayT &o)
--- a/bth/fleet/messages.cpp
+++ b/bth/fleet/messages.cpp
@@ -164,6 +164,7 @@
     if (from.entry_hosts) {
         out.entry_hosts = pack_all<frames::EntryHostT>(*from.entry_hosts);
     }
+    out.state_is_current = from.state_is_current;
     return out;
 }
 
@@ -186,6 +187,7 @@
     if (from.has_entry_hosts) {
         out.entry_hosts = unpack_all<entry_host>(from.entry_hosts);
     }
+    out.state_is_current = from.state_is_current;
     return out;
 }
 
--- a/bth/fleet/messages.h
+++ b/bth/fleet/messages.h
@@ -92,6 +92,9 @@
     std::uint32_t entry_rank{};
     // The entry hosts in the recipient's region, unless they were sent before.
     std::optional<std::vector<entry_host>> entry_hosts;
+    // Whether the sender follows the group, and the recipient holds with this update all that was
+    // agreed on, apart from what is on its way.
+    bool state_is_current{};
 };
 
 // The state that a control host sends to the others.
--- a/bth/fleet/messages_test.cpp
+++ b/bth/fleet/messages_test.cpp
@@ -46,6 +46,7 @@
     sent.control_hosts = {{"10.1.0.2", "north"}};
     sent.entry_count = 9;
     sent.entry_rank = 8;
+    sent.state_is_current = true;
     const auto decoded = decode(encode(sent));
     const auto& received = std::get<update>(*decoded);
     CHECK_TRUE(received.in_contact);
@@ -55,6 +56,7 @@
     CHECK_TRUE(received.control_hosts == sent.control_hosts);
     LONGS_EQUAL(9, received.entry_count);
     LONGS_EQUAL(8, received.entry_rank);
+    CHECK_TRUE(received.state_is_current);
 }
 
 TEST(fleet_messages, an_update_in_two_parts_is_joined)
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -106,9 +106,6 @@
                            std::optional<route::configuration> configuration)
 {
     const auto now = shell::monotonic_now();
-    if (update.in_contact) {
-        this->knowledge.record_contact(now);
-    }
     this->entry_hosts.update(now, update.entry_count, update.entry_rank);
     if (update.entry_hosts) {
         std::vector<dispatch::owner_candidate> hosts;
@@ -143,6 +140,10 @@
                                 .with("routes", this->routes.source_configuration().routes.size()),
                             shell::event_weight::essential);
     }
+    // A configuration that can't be decoded isn't in force here.
+    if (update.state_is_current && this->version >= update.version) {
+        this->knowledge.record_current(now);
+    }
     if (update.evacuated && update.index >= this->index) {
         this->apply_evacuations(now, *update.evacuated, update.index);
     }
--- a/bth/route/route_knowledge.h
+++ b/bth/route/route_knowledge.h
@@ -1,7 +1,7 @@
 // Whether a host may tell a caller that a route doesn't exist.
 //
 //   route_knowledge knowledge;
-//   knowledge.record_contact(now);                 // with each update of a control host in contact
+//   knowledge.record_current(now);                 // with each update that says so
 //   if (!found && knowledge.may_deny(now)) { answer_not_found(); }
 //
 // Callers don't repeat a request after a 404. During a series of configurations, a host that hears
@@ -18,20 +18,21 @@
 
 class route_knowledge {
 public:
-    // Control hosts in contact send an update every 400 ms. After two missing ones a configuration
-    // may be in force that this host doesn't hold.
-    static constexpr std::chrono::milliseconds contact_timeout{1000};
+    // Control hosts that follow their group send an update every 400 ms. After two missing ones a
+    // configuration may be in force that this host doesn't hold.
+    static constexpr std::chrono::milliseconds timeout{1000};
 
-    void record_contact(time_point now) { this->last_contact = now; }
+    // Records that the configuration in force is the newest one.
+    void record_current(time_point now) { this->last_current = now; }
 
     // Whether a route that isn't in the configuration in force doesn't exist.
     bool may_deny(time_point now) const
     {
-        return this->last_contact && now - *this->last_contact <= contact_timeout;
+        return this->last_current && now - *this->last_current <= timeout;
     }
 
 private:
-    std::optional<time_point> last_contact;
+    std::optional<time_point> last_current;
 };
 
 } // namespace bth::route
--- a/bth/route/route_knowledge_test.cpp
+++ b/bth/route/route_knowledge_test.cpp
@@ -24,10 +24,10 @@
     CHECK_FALSE(knowledge.may_deny(start));
     // Updates every 400 ms, one of them lost.
     for (const auto at : {0ms, 400ms, 1200ms}) {
-        knowledge.record_contact(start + at);
+        knowledge.record_current(start + at);
     }
-    CHECK_TRUE(knowledge.may_deny(start + 1200ms + route_knowledge::contact_timeout));
-    CHECK_FALSE(knowledge.may_deny(start + 1201ms + route_knowledge::contact_timeout));
-    knowledge.record_contact(start + 10s);
+    CHECK_TRUE(knowledge.may_deny(start + 1200ms + route_knowledge::timeout));
+    CHECK_FALSE(knowledge.may_deny(start + 1201ms + route_knowledge::timeout));
+    knowledge.record_current(start + 10s);
     CHECK_TRUE(knowledge.may_deny(start + 10s));
 }
--- a/process_tests/platform_test.py
+++ b/process_tests/platform_test.py
@@ -58,6 +58,13 @@
             each.signal(signal.SIGCONT)
         self.until(lambda: self.send("n1", "/none/x")[0] == 404, "the route is known to be missing again")
 
+    def test_unknown_route_is_denied_while_only_the_list_of_targets_is_down(self):
+        self.listing.close()
+        # Control hosts are out of contact after five sixths of the drain time (3 s).
+        time.sleep(4.5)
+        self.assertEqual(self.send("n1", "/none/x")[0], 404)
+        self.assertEqual(self.send("n1", "/read/x")[0], 200)
+
     def test_a_configuration_reaches_every_entry_host(self):
         self.put(configuration(5, {**ROUTES, "/new/": ("orders", "idempotent")}, ["orders"]))
         for domain in self.entries:
