Heed what targets say about themselves in answers: that they leave, and that they want rest

What callers would see: a target that leaves gets requests until the list of targets says so, which takes up to four fifths of the drain time, and forever on a host cut off from control; a target that turned a request away with 503 and a time gets more at once.

A target's word that it leaves counts from the next placement on, on every way to a target, since all of them go through placement; no list takes it back. If all targets of a service leave, they serve on for the drain time. A target that rests has no room until the end; if all rest, requests are refused at once with the end of the first rest and a spread by priority as the time to come back. Load comes back from one request in flight per host.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -34,6 +34,9 @@
 // other hosts send elsewhere, and evicts another one or delays the requests for it.
 constexpr double non_affinity_penalty = 2.0;
 
+// The time over which the callers of one priority come back after a rest.
+constexpr fractional_ms rest_spread_step{150.0};
+
 struct scored_target {
     placement placed;
     fractional_ms cost{};
@@ -47,6 +50,7 @@
     not_ejected,
     any,
     affinity_targets, // The affinity targets of the object that are not ejected.
+    leaving,          // Those that said that they leave, and may still be used.
     in_time, // Those that are not ejected and are expected to meet the objective and the deadline.
 };
 
@@ -76,9 +80,13 @@
 }
 
 bool may_use(const target_registry& registry, const placement_request& request,
-             const target_ptr& candidate, bool even_if_ejected)
+             const target_ptr& candidate, target_filter filter)
 {
-    if (!registry.may_serve(*candidate) ||
+    const bool may_serve =
+        filter == target_filter::leaving
+            ? registry.may_serve_while_leaving(*candidate, request.now, request.leaving_grace)
+            : registry.may_serve(*candidate);
+    if (!may_serve || !candidate->has_rested(request.now) ||
         !is_region_allowed(request, registry.region_of(candidate->info().domain))) {
         return false;
     }
@@ -89,7 +97,7 @@
     if (candidate->is_cold(request.now) && !may_use_cold_target(registry, request, candidate)) {
         return false;
     }
-    return even_if_ejected || !candidate->is_ejected(request.now);
+    return filter == target_filter::any || !candidate->is_ejected(request.now);
 }
 
 // The affinity targets of an object, the same on all hosts of a region: the primary target gets the
@@ -191,7 +199,7 @@
     const auto affinity = affinity_of(registry, request);
     std::optional<scored_target> best;
     for (const auto& candidate : candidates) {
-        if (!may_use(registry, request, candidate, filter == target_filter::any)) {
+        if (!may_use(registry, request, candidate, filter)) {
             continue;
         }
         auto scored = score(registry, request, estimate, candidate, affinity);
@@ -220,6 +228,26 @@
            best.placed.total() > request.remaining_objective;
 }
 
+// Returns why no target may serve the request: because those that could are resting, or because
+// there are none.
+placement_error no_target_error(const target_registry& registry, const placement_request& request,
+                                const service_time_estimate& estimate)
+{
+    std::optional<duration> shortest_rest;
+    for (const auto& candidate : registry.targets_of_service(request.service)) {
+        const bool rests = !candidate->has_rested(request.now);
+        const auto region = registry.region_of(candidate->info().domain);
+        if (rests && registry.may_serve(*candidate) && is_region_allowed(request, region)) {
+            const auto rest = candidate->remaining_rest(request.now);
+            shortest_rest = std::min(shortest_rest.value_or(rest), rest);
+        }
+    }
+    if (!shortest_rest) {
+        return {placement_failure::no_target, estimate.warm};
+    }
+    return {placement_failure::overload, estimate.warm, *shortest_rest};
+}
+
 // Returns `placed` if the request is worth sending there, else why it should be refused.
 tl::expected<placement, placement_error> admit(const placement_request& request,
                                                const service_time_estimate& estimate,
@@ -255,7 +283,7 @@
                                                          const target_ptr& target,
                                                          const service_time_estimate& estimate)
 {
-    if (!may_use(registry, request, target, false)) {
+    if (!may_use(registry, request, target, target_filter::not_ejected)) {
         return tl::unexpected{placement_error{placement_failure::no_target, estimate.warm}};
     }
     const auto affinity = affinity_of(registry, request);
@@ -273,7 +301,10 @@
         best = best_of(registry, request, estimate, target_filter::any);
     }
     if (!best) {
-        return tl::unexpected{placement_error{placement_failure::no_target, estimate.warm}};
+        best = best_of(registry, request, estimate, target_filter::leaving);
+    }
+    if (!best) {
+        return tl::unexpected{no_target_error(registry, request, estimate)};
     }
     if (is_late_cold_start(request, *best)) {
         auto best_affinity = best_of(registry, request, estimate, target_filter::affinity_targets);
@@ -293,6 +324,11 @@
     return elsewhere ? tl::expected<placement, placement_error>{elsewhere->placed} : admitted;
 }
 
+fractional_ms return_after_rest(fractional_ms remaining_rest, std::uint32_t priority, double random)
+{
+    return remaining_rest + rest_spread_step * (priority + random);
+}
+
 std::uint64_t affinity_rank(object_key key, std::string_view target_id)
 {
     return XXH64(target_id.data(), target_id.size(), key);
--- a/bth/dispatch/placement.h
+++ b/bth/dispatch/placement.h
@@ -13,6 +13,11 @@
 // a region rank the targets for an object alike, so that they make the same targets warm for it
 // without communicating.
 //
+// A target that leaves gets nothing that another one can serve, and its objects move to their next
+// affinity targets, which differ from object to object. A target that turned a request away and
+// asked for rest has no room until a known time; nothing waits for that here, since the caller can
+// wait as well, and then be served by any host.
+//
 // Independently of objects, a target as a whole is cold for a while after its start, when it
 // accepts only a low request rate; see target::is_cold().
 #pragma once
@@ -70,6 +75,8 @@
     double remote_share{};
     // The requests per second that this host may send to a cold target; 0 allows none.
     std::uint32_t cold_allowance{};
+    // How long after its word that it leaves a target may serve what no other target can.
+    duration leaving_grace{};
 };
 
 struct placement {
@@ -97,6 +104,8 @@
     // How long the queue needs to shrink before the request can be placed. Where no queue is known,
     // the service time of a warm request.
     fractional_ms retry_after{};
+    // How long all targets that may serve the request still rest; 0 if one doesn't.
+    fractional_ms remaining_rest{};
 };
 
 // Returns the placement on one given target, or why it may not be used. A target's owner calls this
@@ -111,6 +120,12 @@
                                                const placement_request& request,
                                                const service_time_estimate& estimate);
 
+// Returns after which time a caller should come back whose request was refused because all targets
+// rest for `remaining_rest`: the most urgent priority first, and the callers of each one spread by
+// `random`, from 0 to 1, so that they don't return together.
+fractional_ms return_after_rest(fractional_ms remaining_rest, std::uint32_t priority,
+                                double random);
+
 // Returns the affinity of an object for a target: the same on all hosts; targets with a higher rank
 // are preferred.
 std::uint64_t affinity_rank(object_key key, std::string_view target_id);
--- a/bth/dispatch/target.cpp
+++ b/bth/dispatch/target.cpp
@@ -81,6 +81,7 @@
     case send_outcome::answered:
         this->consecutive_failure_count = 0;
         this->ejected_until = {};
+        this->recover_from_rest(now);
         update_mean(this->mean_shed_share, 0.0);
         if (expected.count() > 0) {
             const double slowdown = std::clamp(took / expected, min_slowdown, max_slowdown);
@@ -116,6 +117,38 @@
     this->penalized_until = this->ejected_until + penalty_time;
 }
 
+bool target::record_leaving(time_point now)
+{
+    if (this->first_leaving_answer) {
+        return false;
+    }
+    this->first_leaving_answer = now;
+    return true;
+}
+
+void target::record_rest(time_point now, duration length)
+{
+    this->rests_until = std::max(this->rests_until, now + std::min<duration>(length, max_rest));
+    this->recovery_limit = 1;
+}
+
+duration target::remaining_rest(time_point now) const
+{
+    return std::max<duration>(this->rests_until - now, {});
+}
+
+void target::recover_from_rest(time_point now)
+{
+    // Answers to requests from before the rest don't show that it is over.
+    if (this->recovery_limit == 0 || now < this->rests_until) {
+        return;
+    }
+    this->recovery_limit *= 2;
+    if (this->recovery_limit > this->slots()) {
+        this->recovery_limit = 0;
+    }
+}
+
 void target::record_occupancy(time_point now, std::uint32_t requests)
 {
     this->others_reported =
--- a/bth/dispatch/target.h
+++ b/bth/dispatch/target.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace bth::dispatch {
 
@@ -79,6 +80,28 @@
     // Ejects the target at least until `until`, because its owner doesn't send to it either.
     void eject(time_point until) { this->ejected_until = std::max(this->ejected_until, until); }
 
+    // Records that the target said in an answer that it leaves. Returns whether this is news. No
+    // list takes it back, since the list may be older than the answer.
+    bool record_leaving(time_point now);
+    // Returns when the target first said in an answer that it leaves.
+    const std::optional<time_point>& leaving_since() const { return this->first_leaving_answer; }
+
+    // Records that the target turned a request away and wants no others for `length`, of which
+    // max_rest counts. Afterwards this host's requests in flight at the target may grow from one,
+    // by doubling with each answer, so that the load comes back in steps.
+    void record_rest(time_point now, duration length);
+    // Records that the target asked for a rest that can't be understood. Returns whether that is
+    // the first time.
+    bool record_unreadable_rest() { return !std::exchange(this->had_unreadable_rest, true); }
+    // Returns how long the target still wants no requests; 0 if it doesn't rest.
+    duration remaining_rest(time_point now) const;
+    // Returns whether the target accepts another request of this host, as far as its rests matter.
+    bool has_rested(time_point now) const
+    {
+        return now >= this->rests_until &&
+               (this->recovery_limit == 0 || this->own_in_flight < this->recovery_limit);
+    }
+
     // Returns how many requests of this host are in flight at the target.
     std::uint32_t in_flight() const { return this->own_in_flight; }
     // Estimates how many requests of all hosts are at the target.
@@ -115,8 +138,14 @@
     // Returns whether this host has sent the object to the target recently.
     bool has_recent_object(object_key key) const;
 
+    // A target that asks for more gets a request after this time, which shows whether it still
+    // rests.
+    static constexpr std::chrono::seconds max_rest{60};
+
 private:
     void record_failure(time_point now);
+    // Raises the limit of requests in flight after a rest, and ends it.
+    void recover_from_rest(time_point now);
 
     target_info listed_info;
     bool removed{};
@@ -132,6 +161,11 @@
     time_point ejected_until;
     time_point penalized_until;
     std::uint32_t consecutive_failure_count{};
+    std::optional<time_point> first_leaving_answer;
+    time_point rests_until;
+    // The limit of own requests in flight after a rest; 0 if there is none.
+    std::uint32_t recovery_limit{};
+    bool had_unreadable_rest{};
     double mean_shed_share{};
     double mean_slowdown{1.0};
     // The objects of recent requests, latest first.
--- a/bth/dispatch/target_registry.cpp
+++ b/bth/dispatch/target_registry.cpp
@@ -83,7 +83,7 @@
     return found == this->by_id.end() ? nullptr : found->second;
 }
 
-bool target_registry::may_serve(const target& candidate) const
+bool target_registry::is_listed_in_service(const target& candidate) const
 {
     return !candidate.is_removed() && !candidate.info().draining &&
            !this->evacuated.contains(candidate.info().domain);
--- a/bth/dispatch/target_registry.h
+++ b/bth/dispatch/target_registry.h
@@ -42,14 +42,25 @@
     const std::vector<target_ptr>& targets_of_service(std::string_view service) const;
     // Returns the target with that id, or null.
     target_ptr find(std::string_view id) const;
-    // Returns whether new requests may be sent to the target: it is still listed, not draining, and
-    // its failure domain is not evacuated.
-    bool may_serve(const target& candidate) const;
+    // Returns whether new requests may be sent to the target: it is still listed, leaves neither by
+    // the list nor by its own word, and its failure domain is not evacuated.
+    bool may_serve(const target& candidate) const
+    {
+        return this->is_listed_in_service(candidate) && !candidate.leaving_since();
+    }
+    // Returns whether new requests may be sent to the target although it said in an answer that it
+    // leaves: that was at most `grace` ago, and the list doesn't say so yet.
+    bool may_serve_while_leaving(const target& candidate, time_point now, duration grace) const
+    {
+        return this->is_listed_in_service(candidate) && candidate.leaving_since() &&
+               now - *candidate.leaving_since() <= grace;
+    }
     // Returns the region of a failure domain; empty if the domain is unknown.
     std::string_view region_of(std::string_view domain) const;
     std::size_t size() const { return this->by_id.size(); }
 
 private:
+    bool is_listed_in_service(const target& candidate) const;
     void remove_target(const std::string& id);
 
     domain_regions regions;
--- a/bth/gateway/fields.h
+++ b/bth/gateway/fields.h
@@ -26,6 +26,8 @@
     // In responses: the numbers of running requests, waiting requests and slots, separated by
     // commas.
     std::string load;
+    // In responses: "1" if the target leaves.
+    std::string leaving;
 };
 
 } // namespace bth::gateway
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -120,6 +120,7 @@
     const bool has_targets = update.targets.is_full || !update.targets.changed.empty() ||
                              !update.targets.removed.empty();
     if (has_targets) {
+        this->log_leaving(update.targets.changed);
         this->board.apply(now, update.targets.changed, update.targets.removed,
                           update.targets.is_full);
         const auto leaving =
@@ -249,6 +250,16 @@
     return std::clamp<duration>(std::min(wanted, accepted_wait), min_retry_after, max_retry_after);
 }
 
+duration gateway::return_time(const request_state& state, const dispatch::placement_error& failure)
+{
+    if (failure.remaining_rest <= fractional_ms{}) {
+        return this->jittered_retry_after(failure.retry_after, state.deadline);
+    }
+    std::uniform_real_distribution<double> spread{0.0, 1.0};
+    return std::chrono::duration_cast<duration>(dispatch::return_after_rest(
+        failure.remaining_rest, state.matched_route->priority, spread(this->random)));
+}
+
 caller_response gateway::refuse(const request_state& state, refusal_reason reason,
                                 duration retry_after)
 {
@@ -359,6 +370,7 @@
     question.cold_allowance = this->cold_allowance(state.service);
     question.remote_share = this->remote_object_share(now, state.service);
     question.owner_declined = state.declines > 0;
+    question.leaving_grace = this->settings.drain_time;
     return question;
 }
 
@@ -461,7 +473,7 @@
                 placement ? dispatch::placement_error{dispatch::placement_failure::overload,
                                                       state.last_declined_wait}
                           : placement.error();
-            const auto retry_after = this->jittered_retry_after(failed.retry_after, state.deadline);
+            const auto retry_after = this->return_time(state, failed);
             co_return this->finish(
                 state, this->refuse(state, reason_of(failed.reason), retry_after), "refusal");
         }
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -59,6 +59,8 @@
     std::string domain;
     dispatch::domain_regions regions;
     fleet_limits limits;
+    // The time after which no request may reach a target that leaves.
+    duration drain_time{};
 };
 
 // A request of a caller that is being served.
@@ -182,6 +184,13 @@
     caller_response make_failure_response(const request_state& state, const send_result& result);
     std::uint32_t cold_allowance(const std::string& service) const;
     double remote_object_share(time_point now, const std::string& service);
+    // Records what a target said about itself in the answer to a request.
+    void record_signals(time_point now, dispatch::target& target, const target_signals& signals,
+                        std::string_view request_id);
+    // Logs the targets that an update of the list shows as leaving for the first time.
+    void log_leaving(const std::vector<dispatch::target_info>& changed);
+    // Returns when the caller of a request that can't be placed should come back.
+    duration return_time(const request_state& state, const dispatch::placement_error& failure);
     void log_ejection_change(time_point now, const dispatch::target& target,
                              std::uint32_t failures_before, const send_result& result);
     dispatch::service_time_estimate& work_estimate_for(const std::string& route,
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -157,6 +157,7 @@
     target->end_request(now, outcome, {}, {}, std::nullopt);
     if (reply) {
         target->record_occupancy(now, reply->at_target + target->in_flight());
+        this->record_signals(now, *target, reply->result.signals, state.id);
     }
     if (!sent) {
         ++state.declines;
@@ -231,6 +232,7 @@
                             outgoing.object != 0;
     target->end_request(now, result.outcome, took, comparable ? placement.total() : fractional_ms{},
                         result.load);
+    this->record_signals(now, *target, result.signals, outgoing.request_id);
     this->update_work_estimate(outgoing, result, took - placement.network_delay);
     if (result.outcome == send_outcome::not_reached) {
         // The target may have been restarted by the time it can be reached again.
@@ -257,6 +259,46 @@
     co_return result;
 }
 
+void gateway::record_signals(time_point now, dispatch::target& target,
+                             const target_signals& signals, std::string_view request_id)
+{
+    if (signals.leaves && target.record_leaving(now)) {
+        this->metrics.count_leaving_target("answer");
+        this->events->write(shell::event{"target_leaves"}
+                                .with("target", target.info().id)
+                                .with("learned_from", "answer")
+                                .with("request", request_id));
+    }
+    if (signals.rest) {
+        target.record_rest(now, *signals.rest);
+        this->metrics.count_rest();
+        this->events->write(shell::event{"target_rests"}
+                                .with("target", target.info().id)
+                                .with("request", request_id)
+                                .with("asked_ms", *signals.rest)
+                                .with("rest_ms", target.remaining_rest(now)));
+    }
+    if (signals.has_unreadable_rest && target.record_unreadable_rest()) {
+        this->events->write(shell::event{"rest_unreadable"}
+                                .with("target", target.info().id)
+                                .with("request", request_id));
+    }
+}
+
+void gateway::log_leaving(const std::vector<dispatch::target_info>& changed)
+{
+    for (const auto& info : changed) {
+        const auto known = this->board.find(info.id);
+        if (info.draining && known != nullptr && !known->info().draining) {
+            this->metrics.count_leaving_target("list");
+            this->events->write(shell::event{"target_leaves"}
+                                    .with("target", info.id)
+                                    .with("learned_from", "list")
+                                    .with("said_before", known->leaving_since().has_value()));
+        }
+    }
+}
+
 // Logs when a target is ejected after failures or has recovered.
 void gateway::log_ejection_change(time_point now, const dispatch::target& target,
                                   std::uint32_t failures_before, const send_result& result)
--- a/bth/gateway/handoff.cpp
+++ b/bth/gateway/handoff.cpp
@@ -76,6 +76,11 @@
     out.took_ms = static_cast<float>(from.took.count());
     out.wait_ms = static_cast<float>(from.expected_wait.count());
     out.at_target = from.at_target;
+    out.leaves = from.result.signals.leaves;
+    if (from.result.signals.rest) {
+        out.has_rest = true;
+        out.rest_ms = to_whole_ms(*from.result.signals.rest);
+    }
     if (from.result.response) {
         const auto& response = *from.result.response;
         out.has_answer = true;
@@ -105,6 +110,10 @@
     out.took = fractional_ms{from.took_ms};
     out.expected_wait = fractional_ms{from.wait_ms};
     out.at_target = from.at_target;
+    out.result.signals.leaves = from.leaves;
+    if (from.has_rest) {
+        out.result.signals.rest = std::chrono::milliseconds{from.rest_ms};
+    }
     if (from.has_answer) {
         out.result.response = caller_response{from.status, from.fields, to_text(from.body),
                                               from.bodyless_length, false};
--- a/bth/gateway/handoff_test.cpp
+++ b/bth/gateway/handoff_test.cpp
@@ -35,6 +35,17 @@
     LONGS_EQUAL(2, decoded.priority);
 }
 
+TEST(handoff, signals_of_a_target_survive_a_round_trip)
+{
+    handoff_outcome sent;
+    CHECK_FALSE(encode_and_decode(sent).result.signals.leaves);
+    CHECK_FALSE(encode_and_decode(sent).result.signals.rest.has_value());
+    sent.result.signals.leaves = true;
+    sent.result.signals.rest = 2500ms;
+    CHECK_TRUE(encode_and_decode(sent).result.signals.leaves);
+    CHECK(encode_and_decode(sent).result.signals.rest == 2500ms);
+}
+
 TEST(handoff, outcome_survives_a_round_trip)
 {
     handoff_outcome sent;
--- a/bth/gateway/internal/handoff_generated.h
+++ b/bth/gateway/internal/handoff_generated.h
@@ -414,6 +414,9 @@
   std::string fields{};
   std::string bodyless_length{};
   std::vector<uint8_t> body{};
+  bool leaves = false;
+  bool has_rest = false;
+  uint32_t rest_ms = 0;
 };
 
 struct Outcome FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -434,7 +437,10 @@
     VT_STATUS = 26,
     VT_FIELDS = 28,
     VT_BODYLESS_LENGTH = 30,
-    VT_BODY = 32
+    VT_BODY = 32,
+    VT_LEAVES = 34,
+    VT_HAS_REST = 36,
+    VT_REST_MS = 38
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -481,6 +487,15 @@
   const flatbuffers::Vector<uint8_t> *body() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
   }
+  bool leaves() const {
+    return GetField<uint8_t>(VT_LEAVES, 0) != 0;
+  }
+  bool has_rest() const {
+    return GetField<uint8_t>(VT_HAS_REST, 0) != 0;
+  }
+  uint32_t rest_ms() const {
+    return GetField<uint32_t>(VT_REST_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -501,6 +516,9 @@
            verifier.VerifyString(bodyless_length()) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyVector(body()) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVES, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_REST, 1) &&
+           VerifyField<uint32_t>(verifier, VT_REST_MS, 4) &&
            verifier.EndTable();
   }
   OutcomeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -557,6 +575,15 @@
   void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
     fbb_.AddOffset(Outcome::VT_BODY, body);
   }
+  void add_leaves(bool leaves) {
+    fbb_.AddElement<uint8_t>(Outcome::VT_LEAVES, static_cast<uint8_t>(leaves), 0);
+  }
+  void add_has_rest(bool has_rest) {
+    fbb_.AddElement<uint8_t>(Outcome::VT_HAS_REST, static_cast<uint8_t>(has_rest), 0);
+  }
+  void add_rest_ms(uint32_t rest_ms) {
+    fbb_.AddElement<uint32_t>(Outcome::VT_REST_MS, rest_ms, 0);
+  }
   explicit OutcomeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -584,9 +611,13 @@
     uint16_t status = 0,
     flatbuffers::Offset<flatbuffers::String> fields = 0,
     flatbuffers::Offset<flatbuffers::String> bodyless_length = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
+    bool leaves = false,
+    bool has_rest = false,
+    uint32_t rest_ms = 0) {
   OutcomeBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_rest_ms(rest_ms);
   builder_.add_body(body);
   builder_.add_bodyless_length(bodyless_length);
   builder_.add_fields(fields);
@@ -595,6 +626,8 @@
   builder_.add_wait_ms(wait_ms);
   builder_.add_took_ms(took_ms);
   builder_.add_status(status);
+  builder_.add_has_rest(has_rest);
+  builder_.add_leaves(leaves);
   builder_.add_has_answer(has_answer);
   builder_.add_known(known);
   builder_.add_arrived(arrived);
@@ -620,7 +653,10 @@
     uint16_t status = 0,
     const char *fields = nullptr,
     const char *bodyless_length = nullptr,
-    const std::vector<uint8_t> *body = nullptr) {
+    const std::vector<uint8_t> *body = nullptr,
+    bool leaves = false,
+    bool has_rest = false,
+    uint32_t rest_ms = 0) {
   auto fields__ = fields ? _fbb.CreateString(fields) : 0;
   auto bodyless_length__ = bodyless_length ? _fbb.CreateString(bodyless_length) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -640,7 +676,10 @@
       status,
       fields__,
       bodyless_length__,
-      body__);
+      body__,
+      leaves,
+      has_rest,
+      rest_ms);
 }
 
 flatbuffers::Offset<Outcome> CreateOutcome(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -924,6 +963,9 @@
   { auto _e = fields(); if (_e) _o->fields = _e->str(); }
   { auto _e = bodyless_length(); if (_e) _o->bodyless_length = _e->str(); }
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = leaves(); _o->leaves = _e; }
+  { auto _e = has_rest(); _o->has_rest = _e; }
+  { auto _e = rest_ms(); _o->rest_ms = _e; }
 }
 
 inline flatbuffers::Offset<Outcome> Outcome::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -949,6 +991,9 @@
   auto _fields = _o->fields.empty() ? 0 : _fbb.CreateString(_o->fields);
   auto _bodyless_length = _o->bodyless_length.empty() ? 0 : _fbb.CreateString(_o->bodyless_length);
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  auto _leaves = _o->leaves;
+  auto _has_rest = _o->has_rest;
+  auto _rest_ms = _o->rest_ms;
   return bth::gateway::frames::CreateOutcome(
       _fbb,
       _id,
@@ -965,7 +1010,10 @@
       _status,
       _fields,
       _bodyless_length,
-      _body);
+      _body,
+      _leaves,
+      _has_rest,
+      _rest_ms);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/bth/gateway/metrics.cpp
+++ b/bth/gateway/metrics.cpp
@@ -79,6 +79,13 @@
     }
     this->retries_denied = &add_counter(*this->registry, "bth_gateway_retries_denied_total",
                                         "Retries that the budget of their service forbade.");
+    this->rests = &add_counter(*this->registry, "bth_gateway_target_rests_total",
+                               "Rests that targets asked for.");
+    this->leaving_targets =
+        &prometheus::BuildCounter()
+             .Name("bth_gateway_targets_leaving_total")
+             .Help("Targets that leave, by whether an answer or the list said so.")
+             .Register(*this->registry);
     this->sends = &prometheus::BuildCounter()
                        .Name("bth_gateway_sends_total")
                        .Help("Sends to targets, by failure domain of the target and outcome.")
@@ -120,6 +127,11 @@
         .Observe(std::chrono::duration<double>(took).count());
 }
 
+void gateway_metrics::count_leaving_target(std::string_view learned_from)
+{
+    this->leaving_targets->Add({{"learned_from", std::string{learned_from}}}).Increment();
+}
+
 std::string gateway_metrics::render(const gauge_values& values)
 {
     this->in_flight->Set(static_cast<double>(values.in_flight));
--- a/bth/gateway/metrics.h
+++ b/bth/gateway/metrics.h
@@ -39,6 +39,11 @@
     // Records the end of one attempt at a target of this failure domain.
     void observe_send(const std::string& domain, std::string_view outcome, duration took);
 
+    // Counts a target that leaves, once for each way in which that was learned.
+    void count_leaving_target(std::string_view learned_from);
+    // Counts a rest that a target asked for.
+    void count_rest() { this->rests->Increment(); }
+
     // Current values of the gauges.
     struct gauge_values {
         std::size_t in_flight{};
@@ -64,6 +69,8 @@
     prometheus::Counter* caller_disconnects;
     std::array<std::array<prometheus::Counter*, refusal_reason_count>, priority_count> refusals{};
     prometheus::Counter* retries_denied;
+    prometheus::Counter* rests;
+    prometheus::Family<prometheus::Counter>* leaving_targets;
     prometheus::Family<prometheus::Counter>* sends;
     prometheus::Family<prometheus::Histogram>* send_times;
     std::array<prometheus::Counter*, retry_reason_count> retries{};
--- a/bth/gateway/request_forwarder.cpp
+++ b/bth/gateway/request_forwarder.cpp
@@ -12,6 +12,10 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+// g++ 12 reports false mismatches of new and delete for the coroutine frames that Asio allocates
+// when it inlines their allocation.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
 namespace bth::gateway {
 
 namespace {
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -124,11 +124,23 @@
                         response.find(http::field::content_encoding) == response.end());
 }
 
+target_signals signals_of(const target_response& response, const field_names& names)
+{
+    // Another target has the address, and speaks of itself.
+    if (response.result() == http::status::misdirected_request) {
+        return {};
+    }
+    return read_target_signals(view(response[names.leaving]),
+                               response.result() == http::status::service_unavailable,
+                               view(response[http::field::retry_after]));
+}
+
 // Determines the outcome of the attempt from the target's response.
 send_result evaluate_response(target_response response, const target_request& request)
 {
     send_result out;
     out.may_have_arrived = true;
+    out.signals = signals_of(response, *request.header_names);
     out.load = parse_load(view(response[request.header_names->load]));
     if (states_not_run(response, *request.header_names)) {
         out.outcome = response.result() == http::status::misdirected_request
@@ -147,9 +159,12 @@
 }
 
 // Reads responses until the one to this request; those before it belong to earlier requests. Clears
-// `reusable` if the connection can't be reused afterwards.
-asio::awaitable<std::optional<target_response>>
-read_response(target_connection& connection, const target_request& request, bool& reusable)
+// `reusable` if the connection can't be reused afterwards. Sets `signals` if only the head of the
+// response was received.
+asio::awaitable<std::optional<target_response>> read_response(target_connection& connection,
+                                                              const target_request& request,
+                                                              bool& reusable,
+                                                              target_signals& signals)
 {
     for (int stale_responses = 0; stale_responses <= max_stale_responses; ++stale_responses) {
         http::response_parser<http::string_body> parser;
@@ -159,6 +174,9 @@
         co_await http::async_read(connection.socket, connection.buffer, parser,
                                   asio::redirect_error(asio::use_awaitable, error));
         if (error) {
+            if (parser.is_header_done() && matches_request(parser.get(), request)) {
+                signals = signals_of(parser.get(), *request.header_names);
+            }
             co_return std::nullopt;
         }
         reusable = reusable && parser.keep_alive() && !parser.need_eof();
@@ -235,10 +253,13 @@
         co_return unanswered_result(*control, true);
     }
     bool reusable = true;
-    auto response = co_await read_response(*connection, request, reusable);
+    target_signals signals_of_head;
+    auto response = co_await read_response(*connection, request, reusable, signals_of_head);
     control->close = nullptr;
     if (!response) {
-        co_return unanswered_result(*control, true);
+        auto result = unanswered_result(*control, true);
+        result.signals = signals_of_head;
+        co_return result;
     }
     if (reusable) {
         connection->idle_timeout = parse_idle_timeout(*response);
--- a/bth/gateway/target_send.h
+++ b/bth/gateway/target_send.h
@@ -12,6 +12,7 @@
 #include "bth/gateway/caller_response.h"
 #include "bth/gateway/fields.h"
 #include "bth/gateway/target_pool.h"
+#include "bth/gateway/target_signals.h"
 
 #include <functional>
 #include <memory>
@@ -67,6 +68,8 @@
     std::optional<duration> connect_time;
     // Whether the connection was not opened in time.
     bool connect_timed_out{};
+    // What the target said about itself, also where its response wasn't received completely.
+    target_signals signals{};
 };
 
 // Returns the result of an attempt that ended without a response. `may_have_been_sent`: a byte of
