--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -3,6 +3,7 @@
     target = Target("i-1", "orders", "n1", endpoint)
     platform = TargetList(endpoint, [target])
 """
+import dataclasses
 import http.server
 import json
 import threading
@@ -12,6 +13,8 @@
 PREFIX = "X-Buckthornhatch-"
 RECEIPT = PREFIX + "Response-Seal"
 REQUEST_ID = PREFIX + "Request-Id"
+# Without the prefix, as the platform wrote it.
+LEAVING = "Server-Leaving"
 
 
 class Quiet(http.server.BaseHTTPRequestHandler):
@@ -37,16 +40,41 @@
     return server
 
 
+@dataclasses.dataclass
+class Arrival:
+    """A request that reached a target; times are monotonic."""
+
+    at: float
+    number: str
+    # Address and port: on loopback the address may be the same for every entry host.
+    peer: tuple
+    # What `Target.sender_of` says about the peer.
+    sender: str
+    ran: bool = False
+    # What the answer said besides its result.
+    leaving: bool = False
+    rest: str = None
+    # When the answer had been written; nothing before that.
+    answered: float = None
+
+
 class Target:
-    """A target that counts the runs of each request, and can be told to be slow, shed or cut off."""
+    """A target that counts the runs of each request, and can be told to be slow, shed or cut off,
+    to say in its answers that it leaves, and to turn all requests away for a rest.
+    """
 
     def __init__(self, name, service, domain, endpoint):
         self.name, self.service, self.domain, self.endpoint = name, service, domain, endpoint
         self.state = "ready"
         self.seconds = 0.005
         self.mode = "serve"
+        self.leaving = False
+        # The text of Retry-After in the answers that turn requests away; None: it serves.
+        self.rest = None
         self.runs = {}
+        self.sender_of = lambda peer: None
         self.lock = threading.Lock()
+        self.reached = []
         target = self
 
         class Handler(Quiet):
@@ -59,14 +87,31 @@
 
     def take(self, request):
         body = request.rfile.read(int(request.headers.get("Content-Length", 0)))
-        number = request.headers[REQUEST_ID]
+        arrival = Arrival(time.monotonic(), request.headers[REQUEST_ID], request.client_address,
+                          self.sender_of(request.client_address))
+        with self.lock:
+            self.reached.append(arrival)
+        try:
+            self.respond(request, body, arrival)
+        except OSError:
+            pass
+
+    def respond(self, request, body, arrival):
+        number = arrival.number
         echo = [(REQUEST_ID, number), (PREFIX + "Server-Load", "1,0,3")]
         if request.headers[PREFIX + "Expected-Instance"] != self.name:
-            request.answer(421, headers=[(PREFIX + "Instance-Id", self.name)])
+            self.finish(request, arrival, 421, [(PREFIX + "Instance-Id", self.name)])
+            return
+        rest = self.rest
+        if rest is not None:
+            arrival.rest = rest
+            self.finish(request, arrival, 503,
+                        [*echo, (PREFIX + "Not-Executed", "1"), ("Retry-After", rest)])
             return
         if self.mode == "shed":
-            request.answer(503, headers=[*echo, (PREFIX + "Not-Executed", "1")])
+            self.finish(request, arrival, 503, [*echo, (PREFIX + "Not-Executed", "1")])
             return
+        arrival.ran = True
         with self.lock:
             self.runs[number] = self.runs.get(number, 0) + 1
         time.sleep(self.seconds)
@@ -75,10 +120,16 @@
             request.connection.close()
             return
         text = f"{self.name} {request.command} {request.path} {len(body)}".encode()
-        try:
-            request.answer(200, text, [*echo, (RECEIPT, "seal-" + number)])
-        except OSError:
-            pass
+        self.finish(request, arrival, 200, [*echo, (RECEIPT, "seal-" + number)], text)
+
+    def finish(self, request, arrival, status, headers, text=b""):
+        arrival.leaving = self.leaving
+        request.answer(status, text, [*headers, (LEAVING, "1")] if arrival.leaving else headers)
+        arrival.answered = time.monotonic()
+
+    def arrivals(self):
+        with self.lock:
+            return list(self.reached)
 
     def entry(self):
         return {"service": self.service, "address": self.endpoint, "zone": self.domain,
