Try a target again some seconds after it turned a request away

What callers saw in a process test: after its rest a target got nothing for as long as the test ran, and its objects stayed on colder targets.

Cause: the share of requests that a target shed was forgotten only by answers of that target, which it doesn't get while others are preferred for that share. The same held without a rest. A share now counts for 5 s after the last shed request, like a failure. A refusal after a last try that was turned away also tells the end of the rest, once all targets are known to rest.

Evidence: process_platform_signals, seven tests.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -176,7 +176,7 @@
         std::max(0.0, candidate->usual_occupancy(request.now) + 1.0 - slots);
     const auto usual_wait = scored.placed.service_time * (usually_queued / slots);
     scored.cost = scored.placed.service_time + usual_wait + scored.placed.network_delay +
-                  shed_penalty * candidate->shed_share();
+                  shed_penalty * candidate->shed_share(request.now);
     if (!scored.placed.warm) {
         // A cold request holds its slot for longer, which delays the requests for objects that the
         // target is warm for. The busier the target, the higher is the cost added for this.
--- a/bth/dispatch/target.cpp
+++ b/bth/dispatch/target.cpp
@@ -20,9 +20,9 @@
 constexpr std::uint32_t failures_before_ejection = 2;
 constexpr std::chrono::milliseconds min_ejection_time{500};
 constexpr std::chrono::milliseconds max_ejection_time{4000};
-// How long other targets are preferred to one that failed, counted from the failure or from the end
-// of the ejection. Without this limit, a target of a service whose requests are short would never
-// get another request.
+// How long other targets are preferred to one that failed or shed a request, counted from then or
+// from the end of the ejection. Without this limit, a target of a service whose requests are short
+// would never get another request.
 constexpr std::chrono::milliseconds penalty_time{5000};
 // Bounds of a single slowdown, so that one unusual answer doesn't rule out a target.
 constexpr double min_slowdown = 0.5;
@@ -89,7 +89,9 @@
         }
         break;
     case send_outcome::shed:
+        this->mean_shed_share = this->shed_share(now);
         update_mean(this->mean_shed_share, 1.0);
+        this->last_shed_at = now;
         break;
     case send_outcome::misdirected:
     case send_outcome::not_reached:
@@ -177,6 +179,11 @@
     return std::max(this->occupancy(now), static_cast<double>(this->own_in_flight) + remembered);
 }
 
+double target::shed_share(time_point now) const
+{
+    return now - this->last_shed_at <= penalty_time ? this->mean_shed_share : 0.0;
+}
+
 std::size_t target::sends_in_last_second(time_point now)
 {
     while (!this->recent_sends.empty() &&
--- a/bth/dispatch/target.h
+++ b/bth/dispatch/target.h
@@ -130,8 +130,9 @@
         return this->consecutive_failure_count > 0 && now < this->penalized_until;
     }
     std::uint32_t consecutive_failures() const { return this->consecutive_failure_count; }
-    // Returns the share of recent sends that the target shed, from 0 to 1.
-    double shed_share() const { return this->mean_shed_share; }
+    // Returns the share of recent sends that the target shed, from 0 to 1; 0 if it shed none for
+    // some seconds, so that a target that others are preferred to is tried again.
+    double shed_share(time_point now) const;
     // Returns the mean ratio of actual to expected duration: 1 is as expected, 2 twice as long.
     double slowdown() const { return this->mean_slowdown; }
 
@@ -167,6 +168,7 @@
     std::uint32_t recovery_limit{};
     bool had_unreadable_rest{};
     double mean_shed_share{};
+    time_point last_shed_at;
     double mean_slowdown{1.0};
     // The objects of recent requests, latest first.
     std::deque<object_key> recent_objects;
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -440,9 +440,16 @@
     if (result.outcome == send_outcome::timed_out) {
         return this->refuse(state, refusal_reason::deadline, {});
     }
-    const auto retry_after = this->jittered_retry_after(
-        this->work_estimate_for(state.matched_route->name, state.service).warm, state.deadline);
+    const auto& estimate = this->work_estimate_for(state.matched_route->name, state.service);
     const bool shed = result.outcome == send_outcome::shed;
+    dispatch::placement_error failed{dispatch::placement_failure::overload, estimate.warm};
+    if (shed) {
+        // With this answer all targets may be known to rest.
+        const auto next =
+            dispatch::place(this->board, this->make_placement_question(state), estimate);
+        failed = next ? failed : next.error();
+    }
+    const auto retry_after = this->return_time(state, failed);
     return this->refuse(state, shed ? refusal_reason::queue_full : refusal_reason::target_failed,
                         retry_after);
 }
