--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -260,10 +260,12 @@
         # A majority must be able to write: the next disk waits until this one is free.
         with self.one_disk, self.disturbing(f"control-{domain}"):
             self.change_disk(self.fleet.fill_disk, domain)
-            # A full disk shows only when something is written.
-            self.configure(length, pick)
-            time.sleep(length)
-            self.change_disk(self.fleet.free_disk, domain)
+            try:
+                # A full disk shows only when something is written.
+                self.configure(length, pick)
+                time.sleep(length)
+            finally:
+                self.change_disk(self.fleet.free_disk, domain)
 
     def change_disk(self, change, domain):
         # The limit belongs to the process; one that was killed meanwhile has none.
