Let targets leave and ask for rest in the soak

A target says in its answers that it leaves, before the list does, and its address goes to another one later; a target asks for rest. Checked is what the targets see of each entry host, and what the callers sent when.

--- a/process_tests/platform_fleet.py
+++ b/process_tests/platform_fleet.py
@@ -5,11 +5,14 @@
         def test_serves(self):
             self.assertEqual(self.send("n1")[0], 200)
 """
+import contextlib
 import itertools
 import json
 import os
+import pathlib
 import re
 import resource
+import socket
 
 import harness
 from platform_standins import PREFIX, REQUEST_ID, Target, TargetList, configuration
@@ -82,6 +85,24 @@
             "bth-platform-entry", "--settings", self.write(f"entry-{domain}.json", settings),
             name=f"entry-{domain}-{len(self.processes)}")
 
+    def find_sender(self, peer, endpoint):
+        """The domain of the entry host whose connection to `endpoint` comes from `peer`, if any. All of them come from
+        one loopback address, so that only the kernel's table of connections tells them apart.
+        """
+        def written(host, port):
+            return f"{int.from_bytes(socket.inet_aton(host), 'little'):08X}:{int(port):04X}"
+
+        wanted = [written(*peer), written(*endpoint.rsplit(":", 1))]
+        rows = (line.split() for line in pathlib.Path("/proc/net/tcp").read_text().splitlines())
+        sockets = {f"socket:[{row[9]}]" for row in rows if row[1:3] == wanted}
+        for domain, entry in self.entries.items():
+            files = f"/proc/{entry.popen.pid}/fd"
+            for each in os.listdir(files):
+                with contextlib.suppress(OSError):
+                    if os.readlink(f"{files}/{each}") in sockets:
+                        return domain
+        return None
+
     def fill_disk(self, domain):
         """No file of the control host can grow from now on, as on a full disk."""
         self.limit_files(domain, 1)
--- a/process_tests/platform_signals_test.py
+++ b/process_tests/platform_signals_test.py
@@ -2,10 +2,7 @@
 import contextlib
 import dataclasses
 import itertools
-import os
-import pathlib
 import signal
-import socket
 import threading
 import time
 
@@ -42,8 +39,6 @@
             self.watch(each)
 
     def watch(self, target):
-        # Every entry host reaches a target from the same loopback address; the kernel's table of connections
-        # says which process one belongs to.
         senders = {}
 
         def sender_of(peer):
@@ -56,21 +51,6 @@
         with target.lock:
             target.reached.clear()
 
-    def find_sender(self, peer, endpoint):
-        def written(host, port):
-            return f"{int.from_bytes(socket.inet_aton(host), 'little'):08X}:{int(port):04X}"
-
-        wanted = [written(*peer), written(*endpoint.rsplit(":", 1))]
-        rows = (line.split() for line in pathlib.Path("/proc/net/tcp").read_text().splitlines())
-        sockets = {f"socket:[{row[9]}]" for row in rows if row[1:3] == wanted}
-        for domain, entry in self.entries.items():
-            files = f"/proc/{entry.popen.pid}/fd"
-            for each in os.listdir(files):
-                with contextlib.suppress(OSError):
-                    if os.readlink(f"{files}/{each}") in sockets:
-                        return domain
-        return None
-
     def ask(self, domain, key="7", pays=False, deadline_ms=5000):
         number = f"{next(self.numbers):016x}"
         headers = {"Host": "shop.example", REQUEST_ID: number, PREFIX + "Affinity-Key": key,
--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -14,6 +14,8 @@
 - an evacuated domain runs nothing that was sent 5 s after the acknowledgement;
 - acknowledged configurations are in force, and none is lost;
 - a route of a configuration that was acknowledged 2.5 s before isn't denied while a majority of control hosts is well;
+- a target that says in its answers that it leaves gets nothing sent later than the drain time from the hosts it told, and
+  one that asks for rest gets at most two requests from a host in that time;
 - once the faults have ended, every host serves again, and every control host takes part in the group.
 """
 import argparse
@@ -49,14 +51,19 @@
 # for which a majority of control hosts must have been well for that to hold.
 APPLY_SECONDS = 2.5
 STEADY_SECONDS = 3.0
+DRAIN_SECONDS = 3.0
+# From here to the end of its rest a target gets at most so many requests from a host.
+REST_BEGINS_SECONDS = 0.5
+REST_BUDGET = 2
 RECOVERY_SECONDS = 20
 
 
 class Proxy:
     """Passes connections on to a target; `mode` is pass, delay, silence, one_way or reset."""
 
-    def __init__(self, listen, to):
+    def __init__(self, listen, to, find_sender):
         self.listen, self.to, self.mode = listen, to, "pass"
+        self.find_sender, self.senders = find_sender, {}
         host, port = listen.rsplit(":", 1)
         self.server = harness.socket.create_server((host, int(port)))
         threading.Thread(target=self.accept, daemon=True).start()
@@ -72,6 +79,7 @@
                     return
                 continue
             far.settimeout(None)
+            self.senders[far.getsockname()] = self.find_sender(near.getpeername(), self.listen)
             for come, go, outward in ((near, far, True), (far, near, False)):
                 threading.Thread(target=self.pump, args=(come, go, outward), daemon=True).start()
 
@@ -121,9 +129,9 @@
 
     def wrap_targets(self):
         for row, each in enumerate(self.targets):
-            proxy = Proxy(self.endpoint(170 + row), each.endpoint)
+            proxy = Proxy(self.endpoint(170 + row), each.endpoint, self.find_sender)
             self.proxies.append(proxy)
-            each.endpoint = proxy.listen
+            each.endpoint, each.sender_of = proxy.listen, proxy.senders.get
         self.until(lambda: all(self.send(domain)[0] == 200 for domain in self.entries), "the proxies are listed")
 
 
@@ -137,6 +145,8 @@
         self.ended = threading.Event()
         self.disturbed = {name: [] for domain in DOMAINS for name in (domain, f"control-{domain}")}
         self.one_disk, self.numbering, self.starting = threading.Lock(), threading.Lock(), threading.Lock()
+        self.disturbed["links"] = []
+        self.begun_of = {}
         self.routes = dict(ROUTES)
         self.acknowledged, self.denied = [], set()
         self.evacuated = {}
@@ -153,7 +163,7 @@
                   self.freeze_control, self.kill_all_controls, self.disturb_links, self.shed, self.hang_up,
                   self.evacuate, self.configure]
         # Disks are twice as likely as the others.
-        faults += [self.configuration_series] + 2 * [self.fill_control_disk]
+        faults += [self.configuration_series, self.leave, self.rest] + 2 * [self.fill_control_disk]
         busy = []
         while time.monotonic() - self.begun < FAULT_SECONDS:
             fault = self.chance.choice(faults)
@@ -169,6 +179,7 @@
         for each in callers:
             each.join()
         self.check_evacuations()
+        self.check_signals()
 
     def guard(self, fault, length, pick):
         try:
@@ -276,11 +287,12 @@
     def disturb_links(self, length, pick):
         mode = self.some(["delay", "silence", "one_way", "reset"], pick)
         chosen = [each for row, each in enumerate(self.fleet.proxies) if (int(pick * 64) >> row) & 1]
-        for each in chosen:
-            each.mode = mode
-        time.sleep(length)
-        for each in chosen:
-            each.mode = "pass"
+        with self.disturbing("links"):
+            for each in chosen:
+                each.mode = mode
+            time.sleep(length)
+            for each in chosen:
+                each.mode = "pass"
 
     def change_target(self, mode, length, pick):
         target = self.some(self.fleet.targets, pick)
@@ -294,6 +306,22 @@
     def hang_up(self, length, pick):
         self.change_target("cut", length, pick)
 
+    def leave(self, length, pick):
+        """A target says in its answers that it leaves, before the list does; another one takes its address."""
+        target = self.some(self.fleet.targets, pick)
+        if target.leaving:
+            return
+        target.leaving = True
+        time.sleep(DRAIN_SECONDS + length)
+        target.name = f"{target.name}+-{target.domain}"
+        target.leaving = False
+
+    def rest(self, length, pick):
+        target = self.some(self.fleet.targets, pick)
+        target.rest = f"{length:.2f}"
+        time.sleep(length)
+        target.rest = None
+
     def evacuate(self, length, pick):
         domain = self.some(DOMAINS, pick)
         if domain in self.evacuated:
@@ -360,6 +388,7 @@
             self.findings.append(f"{begun - self.begun:.1f}s at {domain}: {problem or 'late'} after {now - begun:.2f}s")
 
     def check_answer(self, pays, begun, status, headers, text, number):
+        self.begun_of[number] = begun
         runs = self.fleet.runs_of(number)
         if pays and runs > 1:
             self.findings.append(f"payment {number} ran {runs} times")
@@ -406,6 +435,41 @@
                     break
 
 
+    def check_signals(self):
+        for target in self.fleet.targets:
+            arrivals = target.arrivals()
+            for sender in DOMAINS:
+                mine = [each for each in arrivals if each.sender == sender and each.number]
+                self.check_leaving(sender, mine)
+                self.check_rests(sender, mine)
+
+    def check_leaving(self, sender, arrivals):
+        told = {}
+        for each in arrivals:
+            if each.leaving and each.answered:
+                told[each.name] = min(each.answered, told.get(each.name, math.inf))
+        for each in arrivals:
+            since, begun = told.get(each.name, math.inf), self.begun_of.get(each.number, 0)
+            # A restart or a freeze of the host since then excuses it, and what was told may be lost on its way.
+            excused = self.was_disturbed(sender, since, each.at) or self.was_disturbed("links", since - 0.5, since + 0.5)
+            if each.ran and begun > since + DRAIN_SECONDS and not excused:
+                self.findings.append(f"{begun - self.begun:.1f}s {sender} sends to {each.name}, which leaves since "
+                                     f"{since - self.begun:.1f}s")
+                return
+
+    def check_rests(self, sender, arrivals):
+        for turned in arrivals:
+            if turned.rest is None or turned.answered is None:
+                continue
+            begin, end = turned.answered + REST_BEGINS_SECONDS, turned.answered + float(turned.rest)
+            count = sum(begin < each.at < end for each in arrivals)
+            excused = any(self.was_disturbed(each, turned.answered - 0.5, end) for each in (sender, "links"))
+            if count > REST_BUDGET and not excused:
+                self.findings.append(f"{turned.answered - self.begun:.1f}s {sender} sends {count} requests in the rest of "
+                                     f"{turned.name}")
+                return
+
+
 def play_seed(seed):
     environment = {**os.environ, "BTH_SOAK_SEED": str(seed)}
     return subprocess.run([sys.executable, __file__, "--one"], env=environment, capture_output=True, text=True,
--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -46,6 +46,8 @@
 
     at: float
     number: str
+    # The target's name at that time.
+    name: str
     # Address and port: on loopback the address may be the same for every entry host.
     peer: tuple
     # What `Target.sender_of` says about the peer.
@@ -87,7 +89,7 @@
 
     def take(self, request):
         body = request.rfile.read(int(request.headers.get("Content-Length", 0)))
-        arrival = Arrival(time.monotonic(), request.headers[REQUEST_ID], request.client_address,
+        arrival = Arrival(time.monotonic(), request.headers[REQUEST_ID], self.name, request.client_address,
                           self.sender_of(request.client_address))
         with self.lock:
             self.reached.append(arrival)
