Let an entry host whose disk was full store and use revisions again

What callers would see: after one failed write an entry host of the product's own interface takes no revision into force until it is restarted. It goes on with the configuration that it had, answers probes and pulls, and control lists it as unconfirmed.

Each message and tick gave the next order, so that the tries came as fast as the disk refused them, with a line of the log each.

Edits are refused in this place, since those of the failed order would be missing before them.

The driver logs one line when saving fails first and one when it works again.

Evidence, on the former code (with the accessor storing_fails() only): config_store.after_a_failed_save..., edits_behind... and a_crash_after_a_failed_save... fail at the first save after the repair, and drivers.a_host_whose_disk_was_full... doesn't confirm the next revision within 30 s of the disk taking bytes; now it does. Taken out one by one, the interval, the comparison of the identity after reopening and that before the cut each fail their test (agent, config_store.a_folder_that_lost...). distribution_test 11 tests, membership_test 22, storage_test 16 and consensus_test 20 (default schedules) pass. No test reads the two lines of the log.

The disk's thread allocates beside the test's, so the drivers tests now use the locked form of CppUTest's leak check. One run of them before said "Deallocating non-allocated memory"; six runs since don't.

--- a/bth/distribution/agent_driver.cpp
+++ b/bth/distribution/agent_driver.cpp
@@ -136,12 +136,19 @@
 
 void agent_driver::saved(revision upto, const storage::disk_result& done)
 {
+    const bool failed_before = std::exchange(this->store_failed, !done);
     if (!done) {
-        LOG4CPLUS_ERROR(this->log, "Can't store revision " << upto.value() << ": "
-                                                           << to_string(done.error()) << ".");
-        this->core->persist_failed();
+        // One line for all tries that fail in a row.
+        if (!failed_before) {
+            LOG4CPLUS_ERROR(this->log, "Can't store revision " << upto.value() << ": "
+                                                               << to_string(done.error()) << ".");
+        }
+        this->core->persist_failed(shell::monotonic_now());
         return;
     }
+    if (failed_before) {
+        LOG4CPLUS_INFO(this->log, "Stores revisions again, up to " << upto.value() << ".");
+    }
     this->perform(this->core->persisted(shell::monotonic_now(), upto));
 }
 
--- a/bth/distribution/agent_driver.h
+++ b/bth/distribution/agent_driver.h
@@ -55,6 +55,8 @@
     const std::vector<membership::member>& members() const { return this->core->members(); }
     const membership::replica_counters& counters() const { return this->core->counters(); }
     const message_counters& messages() const { return this->counted; }
+    // Whether the last save failed, so that a revision waits for the disk.
+    bool storing_fails() const { return this->store_failed; }
     // Hosts that the platform's list says are gone.
     void hint_gone(const std::vector<std::string>& hosts) { this->core->hint_gone(hosts); }
 
@@ -81,6 +83,7 @@
     message_counters counted;
     std::vector<shell::peer_address> known_peers;
     bool stopped{};
+    bool store_failed{};
     log4cplus::Logger log{log4cplus::Logger::getInstance("distribution")};
 };
 
--- a/bth/distribution/config_store.h
+++ b/bth/distribution/config_store.h
@@ -39,7 +39,7 @@
                                                                    const std::string& host)
     {
         const std::string identity = "configuration of " + host;
-        config_store made{storage::journal<Disk>{std::move(disk)}};
+        config_store made{storage::journal<Disk>{std::move(disk)}, identity};
         auto contents = made.files.open();
         if (!contents) {
             return tl::make_unexpected(contents.error());
@@ -51,9 +51,7 @@
             return made;
         }
         if (*contents->identity != identity) {
-            return tl::make_unexpected(storage::storage_error{
-                storage::storage_error_kind::foreign, "identity", 0,
-                "it holds the " + *contents->identity + ", not the " + identity});
+            return made.foreign(*contents->identity);
         }
         auto table = internal::read_table(*contents);
         if (!table) {
@@ -67,19 +65,64 @@
     std::optional<config::text_table> take_stored() { return std::exchange(this->table, {}); }
 
     // Carries out an order; `table` is the whole table at order.upto, used if the order is for it.
+    //
+    // After an error the disk may hold the order or not, so that only a whole table is taken next.
+    // It is saved once the disk takes writes again, if the folder is still this host's.
     storage::disk_result save(const membership::persist_order& order,
                               const config::text_table& table)
     {
-        if (order.whole) {
-            return this->files.replace(internal::encode_snapshot(table), {});
+        if (this->failed) {
+            auto usable = order.whole ? this->reopen() : this->needs_whole(order.upto);
+            if (!usable) {
+                return usable;
+            }
         }
-        return this->files.append(internal::encode_edits(order.edits));
+        auto done = order.whole ? this->files.replace(internal::encode_snapshot(table), {})
+                                : this->files.append(internal::encode_edits(order.edits));
+        this->failed = !done;
+        return done;
     }
 
 private:
-    explicit config_store(storage::journal<Disk> files) : files{std::move(files)} {}
+    config_store(storage::journal<Disk> files, std::string identity)
+        : files{std::move(files)}, identity{std::move(identity)}
+    {}
+
+    tl::unexpected<storage::storage_error> foreign(const std::string& found) const
+    {
+        return tl::make_unexpected(
+            storage::storage_error{storage::storage_error_kind::foreign, "identity", 0,
+                                   "it holds the " + found + ", not the " + this->identity});
+    }
+
+    static storage::disk_result needs_whole(revision upto)
+    {
+        return tl::make_unexpected(
+            storage::storage_error{storage::storage_error_kind::io, "log", 0,
+                                   "edits up to revision " + std::to_string(upto.value()) +
+                                       " can't follow a save that failed; the whole table can"});
+    }
+
+    storage::disk_result reopen()
+    {
+        const auto contents = this->files.reopen();
+        if (!contents) {
+            return tl::make_unexpected(contents.error());
+        }
+        if (!contents->identity) {
+            return tl::make_unexpected(storage::storage_error{storage::storage_error_kind::damaged,
+                                                              "identity", 0, "it is missing"});
+        }
+        if (*contents->identity != this->identity) {
+            return this->foreign(*contents->identity);
+        }
+        return {};
+    }
 
     storage::journal<Disk> files;
+    std::string identity;
+    // Whether the last save failed.
+    bool failed{};
     std::optional<config::text_table> table;
 };
 
--- a/bth/distribution/drivers_test.cpp
+++ b/bth/distribution/drivers_test.cpp
@@ -3,6 +3,7 @@
 #include "bth/shell/net.h"
 
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <memory>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <sys/resource.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -89,6 +91,28 @@
     std::vector<revision> in_force;
 };
 
+// As long as it lives, files of this process take no bytes, as on a full disk.
+class full_disk {
+public:
+    full_disk() : handler{std::signal(SIGXFSZ, SIG_IGN)}
+    {
+        ::getrlimit(RLIMIT_FSIZE, &this->before);
+        const rlimit none{0, this->before.rlim_max};
+        ::setrlimit(RLIMIT_FSIZE, &none);
+    }
+    full_disk(const full_disk&) = delete;
+    full_disk& operator=(const full_disk&) = delete;
+    ~full_disk()
+    {
+        ::setrlimit(RLIMIT_FSIZE, &this->before);
+        (void)std::signal(SIGXFSZ, this->handler);
+    }
+
+private:
+    void (*handler)(int);
+    rlimit before{};
+};
+
 // The logging library keeps its loggers until the process ends; they are made outside of the leak
 // check, which covers all else.
 void make_loggers()
@@ -105,7 +129,16 @@
 // clang-format off
 TEST_GROUP(drivers)
 {
-    void setup() override { make_loggers(); }
+    // The thread of the disk allocates beside the test's.
+    void setup() override
+    {
+        MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
+        make_loggers();
+    }
+    void teardown() override
+    {
+        MemoryLeakWarningPlugin::turnOnDefaultNotThreadSafeNewDeleteOverloads();
+    }
 };
 // clang-format on
 
@@ -150,3 +183,45 @@
     context.poll();
     std::filesystem::remove_all(folder);
 }
+
+TEST(drivers, a_host_whose_disk_was_full_takes_the_next_revision_into_force)
+{
+    boost::asio::io_context context;
+    std::string folder = (std::filesystem::temp_directory_path() / "bth-drivers-XXXXXX").string();
+    CHECK_TRUE(::mkdtemp(folder.data()) != nullptr);
+    const std::vector<endpoint> where{free_endpoint(context)};
+    const auto control_link = std::make_shared<shell::peer_link>(
+        context.get_executor(), shell::peer_link_settings{"control-a", incarnation{1}});
+    const auto control = std::make_shared<publisher_driver>(context, control_link,
+                                                            std::vector<shell::peer_address>{});
+    control->start();
+    control->set_active(true);
+    auto host = std::make_unique<entry>(context, "entry-0", 1, folder, where[0]);
+    control->accepted(revision{1}, site_text(where, 1));
+    CHECK_TRUE(run_until(context, [&] { return control->unconfirmed(revision{1}).empty(); }));
+    {
+        const full_disk full;
+        control->accepted(revision{2}, site_text(where, 2));
+        CHECK_TRUE(run_until(context, [&] { return host->driver->storing_fails(); }));
+        const auto another_try =
+            std::chrono::steady_clock::now() + membership::persist_retry_interval * 3 / 2;
+        run_until(context, [&] { return std::chrono::steady_clock::now() >= another_try; });
+        CHECK_TRUE(host->driver->storing_fails());
+        CHECK_TRUE(host->driver->status().newest == revision{2});
+        CHECK_TRUE(host->now() == revision{1});
+    }
+    control->accepted(revision{3}, site_text(where, 3));
+    CHECK_TRUE(run_until(context, [&] { return control->unconfirmed(revision{3}).empty(); }));
+    CHECK_TRUE(host->now() == revision{3});
+    CHECK_FALSE(host->driver->storing_fails());
+    host->stop();
+    control->stop();
+    control_link->stop();
+    context.restart();
+    context.poll();
+    host.reset();
+    auto stored = config_store<storage::posix_disk>::open(storage::posix_disk::open(folder).value(),
+                                                          "entry-0");
+    CHECK_TRUE(stored->take_stored()->at() == revision{3});
+    std::filesystem::remove_all(folder);
+}
--- a/bth/membership/agent.cpp
+++ b/bth/membership/agent.cpp
@@ -74,6 +74,12 @@
     return out;
 }
 
+void agent::persist_failed(time_point now)
+{
+    this->copy.persist_failed();
+    this->persist_due = now + persist_retry_interval;
+}
+
 actions agent::in_use(time_point now)
 {
     actions out;
@@ -290,8 +296,10 @@
 void agent::settle(time_point now, actions& out)
 {
     this->refresh_topology();
-    if (auto order = this->copy.next_persist()) {
-        out.emplace_back(std::move(*order));
+    if (now >= this->persist_due) {
+        if (auto order = this->copy.next_persist()) {
+            out.emplace_back(std::move(*order));
+        }
     }
     this->start_pull(now, out);
     this->update_ready(now);
--- a/bth/membership/agent.h
+++ b/bth/membership/agent.h
@@ -75,6 +75,10 @@
     bool ready{};
 };
 
+// The time from a failed save to the next try, long enough that a disk that stays full isn't kept
+// busy with tables it can't take.
+inline constexpr duration persist_retry_interval = std::chrono::milliseconds{1000};
+
 class agent {
 public:
     // `stored` is the table that the disk held, if there is a disk and it held one.
@@ -83,11 +87,12 @@
     // Called every tick_interval.
     actions tick(time_point now);
     actions receive(time_point now, const peer& from, const message& what);
-    // The result of a persist_order.
+    // The result of a persist_order. After a failed one the next, for the whole table, is given
+    // persist_retry_interval later.
     actions persisted(time_point now, revision upto);
+    void persist_failed(time_point now);
     // The shell uses the revision that take_into_force named. Only then is it stated and confirmed.
     actions in_use(time_point now);
-    void persist_failed() { this->copy.persist_failed(); }
     // Hosts that the platform's list says are gone.
     void hint_gone(const std::vector<std::string>& hosts) { this->detector.hint_gone(hosts); }
 
@@ -151,6 +156,8 @@
     std::mt19937_64 random;
     failure_detector detector;
     replica copy;
+    // After a failed save: when to try the next.
+    time_point persist_due;
     std::vector<host_place> hosts;
     config::table_digest known_hosts;
     // The revision that known_hosts was computed for.
--- a/bth/membership/replica.h
+++ b/bth/membership/replica.h
@@ -68,7 +68,8 @@
     // What to store next, nothing while an earlier order isn't finished.
     std::optional<persist_order> next_persist();
     void persisted(revision upto);
-    // The order failed; the next one stores the whole table.
+    // The order failed; the next one stores the whole table. When to ask for it is up to the
+    // caller.
     void persist_failed();
 
     // Puts the newest table in force if it is stored. True if the revision in force rose.
--- a/bth/storage/journal.h
+++ b/bth/storage/journal.h
@@ -47,7 +47,8 @@
 
     // After an error: cuts off what a failed append left behind the records that were durable, then
     // reads everything as open() does. Nothing of that tail was ever told to anyone, and a system
-    // that reported a failed sync once may call the same bytes synced later.
+    // that reported a failed sync once may call the same bytes synced later. Nothing is cut in a
+    // folder that isn't this journal's any more.
     tl::expected<journal_contents, storage_error> reopen();
 
     // Gives a blank folder its owner. A crash in between leaves it blank.
@@ -103,6 +104,14 @@
 tl::expected<journal_contents, storage_error> journal<Disk>::reopen()
 {
     if (this->has_failed_tail) {
+        const auto owner = this->read_single(identity_name);
+        if (!owner) {
+            return tl::make_unexpected(owner.error());
+        }
+        if (!*owner || XXH64((*owner)->data(), (*owner)->size(), single_seed) != this->seed) {
+            return damaged(identity_name, 0,
+                           *owner ? "it is that of " + **owner + " now" : "it is missing");
+        }
         auto cut = this->files.truncate_synced(log_name, this->size);
         if (!cut) {
             return tl::make_unexpected(std::move(cut.error()));
