Let a control host that decides alone go on once its disk takes writes

What callers would see: after one failed save a control host that decides alone answers every later edit "unknown" and every read 503 until it is restarted, while its status and metrics say that it leads.

Cause: local_proposer kept the first error for ever, and status() didn't ask for it.

If it is the book in force or the one whose save failed, it is saved anew, since what can be read may not be synced, and becomes the book in force: the edit that was answered "unknown" is applied once or not at all, as a restart would find it. Anything else on the disk stays refused and unchanged. Each edit and read tries this first, and bth-control every second, because a stopped host feeds no entry host. Until then the role is "stopped", no leader is named, the edit whose save failed is "unknown" again, and edits never tried are not accepted, which is certain. One line is logged when a save fails first and one when saving works again.

--- a/bth/control/data_folder.h
+++ b/bth/control/data_folder.h
@@ -27,6 +27,8 @@
     data_folder& operator=(const data_folder&) = delete;
     ~data_folder();
 
+    const std::string& name() const { return this->path; }
+
     // The snapshot that was saved last, or nothing if none was saved.
     tl::expected<std::optional<std::vector<std::uint8_t>>, std::string> read_snapshot() const;
 
--- a/bth/control/local_proposer.cpp
+++ b/bth/control/local_proposer.cpp
@@ -2,8 +2,31 @@
 
 #include <utility>
 
+#include <log4cplus/loggingmacros.h>
+
 namespace bth::control {
 
+namespace {
+
+// The book that the folder holds, a blank one if it holds none.
+tl::expected<edit_book, std::string> read_book(const data_folder& folder, const std::string& path)
+{
+    const auto bytes = folder.read_snapshot();
+    if (!bytes) {
+        return tl::unexpected{bytes.error()};
+    }
+    if (!bytes->has_value()) {
+        return edit_book{};
+    }
+    auto restored = edit_book::restore(**bytes);
+    if (!restored) {
+        return tl::unexpected{"can't use the data folder \"" + path + "\": " + restored.error()};
+    }
+    return restored;
+}
+
+} // namespace
+
 tl::expected<local_proposer, std::string> local_proposer::open(std::string host,
                                                                const std::string& path)
 {
@@ -11,31 +34,55 @@
     if (!folder) {
         return tl::unexpected{folder.error()};
     }
-    const auto bytes = folder->read_snapshot();
-    if (!bytes) {
-        return tl::unexpected{bytes.error()};
+    auto book = read_book(*folder, path);
+    if (!book) {
+        return tl::unexpected{book.error()};
+    }
+    return local_proposer{std::move(host), std::move(*folder), std::move(*book)};
+}
+
+tl::expected<void, std::string> local_proposer::resume()
+{
+    if (!this->failure) {
+        return {};
+    }
+    const auto stay_stopped = [this](std::string error) -> tl::expected<void, std::string> {
+        this->failure->error = std::move(error);
+        return tl::unexpected{this->failure->error};
+    };
+    auto held = read_book(this->folder, this->folder.name());
+    if (!held) {
+        return stay_stopped(held.error());
+    }
+    const auto bytes = held->snapshot();
+    const bool holds_failed_edit = bytes == this->failure->next.snapshot();
+    if (!holds_failed_edit && bytes != this->book.snapshot()) {
+        return stay_stopped("the data folder \"" + this->folder.name() + "\" holds version " +
+                            std::to_string(held->version().value()) +
+                            ", which this process didn't save");
     }
-    edit_book book;
-    if (bytes->has_value()) {
-        auto restored = edit_book::restore(**bytes);
-        if (!restored) {
-            return tl::unexpected{"can't use the data folder \"" + path +
-                                  "\": " + restored.error()};
-        }
-        book = std::move(*restored);
+    // What can be read may not be synced, so it is saved anew before it counts.
+    if (auto saved = this->folder.replace_snapshot(bytes); !saved) {
+        return stay_stopped(saved.error());
     }
-    return local_proposer{std::move(host), std::move(*folder), std::move(book)};
+    this->book = std::move(*held);
+    this->failure.reset();
+    LOG4CPLUS_INFO(this->log, "Saves edits again. The edit whose save failed "
+                                  << (holds_failed_edit ? "is kept" : "is not kept") << ", version "
+                                  << this->book.version().value() << ".");
+    return {};
 }
 
 boost::asio::awaitable<tl::expected<applied_edit, proposal_failure>>
 local_proposer::propose(edit one)
 {
-    const auto failure = [this]() {
-        return tl::unexpected{proposal_failure{proposal_failure_reason::storage_failed,
-                                               run_state::unknown, this->save_error}};
+    const auto failed = [this](run_state accepted) {
+        return tl::unexpected{proposal_failure{proposal_failure_reason::storage_failed, accepted,
+                                               this->failure->error}};
     };
-    if (!this->save_error.empty()) {
-        co_return failure();
+    if (!this->resume()) {
+        const bool tried_before = this->failure->next.answered(one).has_value();
+        co_return failed(tried_before ? run_state::unknown : run_state::no);
     }
     edit_book next = this->book;
     applied_edit out = next.apply(one);
@@ -43,8 +90,10 @@
         co_return out;
     }
     if (auto saved = this->folder.replace_snapshot(next.snapshot()); !saved) {
-        this->save_error = saved.error();
-        co_return failure();
+        LOG4CPLUS_ERROR(this->log,
+                        "Can't save the edit " << one.id << ": " << saved.error() << ".");
+        this->failure = failed_save{std::move(next), saved.error()};
+        co_return failed(run_state::unknown);
     }
     this->book = std::move(next);
     co_return out;
@@ -52,9 +101,9 @@
 
 boost::asio::awaitable<tl::expected<accepted_text, proposal_failure>> local_proposer::read()
 {
-    if (!this->save_error.empty()) {
+    if (const auto resumed = this->resume(); !resumed) {
         co_return tl::unexpected{proposal_failure{proposal_failure_reason::storage_failed,
-                                                  run_state::no, this->save_error}};
+                                                  run_state::no, resumed.error()}};
     }
     co_return accepted_text{this->book.version(), this->book.text()};
 }
@@ -63,8 +112,8 @@
 {
     control_status out;
     out.host = this->host;
-    out.role = "leader";
-    out.leader = this->host;
+    out.role = this->failure ? "stopped" : "leader";
+    out.leader = this->failure ? "" : this->host;
     out.version = this->book.version();
     out.kept_ids = this->book.kept_ids();
     out.members.push_back({this->host, out.role, out.version});
--- a/bth/control/main.cpp
+++ b/bth/control/main.cpp
@@ -19,6 +19,7 @@
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace {
 
@@ -27,6 +28,8 @@
 using bth::control::replicated_proposer;
 
 constexpr const char* program = "bth-control";
+// Interval of attempts to go on after an edit couldn't be saved.
+constexpr std::chrono::seconds resume_interval{1};
 
 int fail(const std::string& why)
 {
@@ -92,6 +95,38 @@
     return bth::shell::exit_ok;
 }
 
+// Lets a host that decides alone go on after a failed save without waiting for an operator's
+// request: a stopped one feeds no entry host.
+class resume_loop {
+public:
+    resume_loop(boost::asio::io_context& context, local_proposer& decider)
+        : decider{&decider}, timer{context}
+    {}
+
+    void start()
+    {
+        this->timer.expires_after(resume_interval);
+        this->timer.async_wait([this](const boost::system::error_code& error) {
+            if (!error && !this->stopped) {
+                // A failed attempt leaves the reason with the decider.
+                (void)this->decider->resume();
+                this->start();
+            }
+        });
+    }
+
+    void stop()
+    {
+        this->stopped = true;
+        this->timer.cancel();
+    }
+
+private:
+    local_proposer* decider;
+    boost::asio::steady_timer timer;
+    bool stopped{};
+};
+
 int serve_alone(const control_settings& settings)
 {
     boost::asio::io_context context;
@@ -99,7 +134,10 @@
     if (!decider) {
         return fail(decider.error());
     }
-    return serve(context, settings, *decider, make_link(context, settings), [] {});
+    resume_loop resuming{context, *decider};
+    resuming.start();
+    return serve(context, settings, *decider, make_link(context, settings),
+                 [&] { resuming.stop(); });
 }
 
 int serve_in_group(const control_settings& settings, bool found)
--- a/process_tests/control_test.py
+++ b/process_tests/control_test.py
@@ -73,6 +73,9 @@
         return self.ctl("submit", text or self.text, "--expect-version", version, "--edit-id",
                         edit_id, "--author", "ada", *arguments, control=control)
 
+    def role(self):
+        return json.loads(harness.call(self.http, "GET", "/status")[2])["role"]
+
     def write_with_slots(self, name, slots):
         changed = json.loads(json.dumps(self.site))
         changed["targets"][0]["slots"] = slots
@@ -99,6 +102,23 @@
         control.signal(signal.SIGTERM)
         self.assertEqual(control.wait_exit(), 0)
 
+    def test_a_folder_that_takes_writes_again_is_used_without_a_restart(self):
+        control = self.start_control()
+        self.assertEqual(self.submit("first", 0)[0], OK)
+        text = self.write_with_slots("second.json", 4)
+        obstacle = self.folder / "data" / "edits.snapshot.new"
+        obstacle.mkdir()
+        code, out, _ = self.submit("second", 1, "--timeout-ms", SHORT_MS, text=text)
+        self.assertEqual(code, UNKNOWN, out)
+        self.assertEqual(self.role(), "stopped")
+        obstacle.rmdir()
+        self.until(lambda: self.role() == "leader", "lead again without a request")
+        code, out, _ = self.submit("second", 1, text=text)
+        self.assertEqual((code, out), (OK, "accepted as 2\n"))
+        lines = control.error_text()
+        self.assertEqual(lines.count("Can't save the edit second: "), 1, lines)
+        self.assertEqual(lines.count("Saves edits again. "), 1, lines)
+
     def test_of_two_submits_on_one_version_one_wins(self):
         self.start_control()
         self.assertEqual(self.submit("base", 0)[0], OK)
