Don't send callers away for the rest of one target, and keep rests of up to an hour

What callers would see: a Retry-After of a minute because one target rests, although another one that was just tried or is cold may serve them; a target with a long rest got requests after a minute; answers to requests from before a rest ended its recovery; a target that always sheds was tried with several requests every 5 s. Found by review.

The time to come back names a rest only if every target that may serve rests. Rests count for up to an hour instead of a minute. Only requests begun after a rest raise the limit, and the share of shed requests is remembered beyond the 5 s in which it counts. The last refusal of a request takes a time from placement only for rests.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -228,21 +228,23 @@
            best.placed.total() > request.remaining_objective;
 }
 
-// Returns why no target may serve the request: because those that could are resting, or because
-// there are none.
+// Returns why no target may serve the request: because all that could are resting, or because there
+// are none, or none that may be used now.
 placement_error no_target_error(const target_registry& registry, const placement_request& request,
                                 const service_time_estimate& estimate)
 {
     std::optional<duration> shortest_rest;
+    bool any_recovers = false;
     for (const auto& candidate : registry.targets_of_service(request.service)) {
-        const bool rests = !candidate->has_rested(request.now);
         const auto region = registry.region_of(candidate->info().domain);
-        if (rests && registry.may_serve(*candidate) && is_region_allowed(request, region)) {
+        if (registry.may_serve(*candidate) && is_region_allowed(request, region)) {
+            // 0 if it doesn't rest: it was tried, is cold, or recovers from a rest.
+            any_recovers = any_recovers || !candidate->has_rested(request.now);
             const auto rest = candidate->remaining_rest(request.now);
             shortest_rest = std::min(shortest_rest.value_or(rest), rest);
         }
     }
-    if (!shortest_rest) {
+    if (!any_recovers) {
         return {placement_failure::no_target, estimate.warm};
     }
     return {placement_failure::overload, estimate.warm, *shortest_rest};
--- a/bth/dispatch/target.cpp
+++ b/bth/dispatch/target.cpp
@@ -81,7 +81,7 @@
     case send_outcome::answered:
         this->consecutive_failure_count = 0;
         this->ejected_until = {};
-        this->recover_from_rest(now);
+        this->recover_from_rest(now - std::chrono::duration_cast<duration>(took));
         update_mean(this->mean_shed_share, 0.0);
         if (expected.count() > 0) {
             const double slowdown = std::clamp(took / expected, min_slowdown, max_slowdown);
@@ -89,7 +89,6 @@
         }
         break;
     case send_outcome::shed:
-        this->mean_shed_share = this->shed_share(now);
         update_mean(this->mean_shed_share, 1.0);
         this->last_shed_at = now;
         break;
@@ -139,10 +138,10 @@
     return std::max<duration>(this->rests_until - now, {});
 }
 
-void target::recover_from_rest(time_point now)
+void target::recover_from_rest(time_point begun)
 {
-    // Answers to requests from before the rest don't show that it is over.
-    if (this->recovery_limit == 0 || now < this->rests_until) {
+    // Answers to requests from before the end of the rest don't show that it is over.
+    if (this->recovery_limit == 0 || begun < this->rests_until) {
         return;
     }
     this->recovery_limit *= 2;
--- a/bth/dispatch/target.h
+++ b/bth/dispatch/target.h
@@ -139,14 +139,14 @@
     // Returns whether this host has sent the object to the target recently.
     bool has_recent_object(object_key key) const;
 
-    // A target that asks for more gets a request after this time, which shows whether it still
-    // rests.
-    static constexpr std::chrono::seconds max_rest{60};
+    // Longer rests are cut off here, so that no word takes a target out for good.
+    static constexpr std::chrono::hours max_rest{1};
 
 private:
     void record_failure(time_point now);
-    // Raises the limit of requests in flight after a rest, and ends it.
-    void recover_from_rest(time_point now);
+    // Raises the limit of requests in flight after a rest, and ends it, by the answer to a request
+    // that was sent at `begun`.
+    void recover_from_rest(time_point begun);
 
     target_info listed_info;
     bool removed{};
--- a/bth/dispatch/target_signals_replay_test.cpp
+++ b/bth/dispatch/target_signals_replay_test.cpp
@@ -173,6 +173,55 @@
     CHECK_TRUE(resting->has_rested(now + 400ms));
 }
 
+TEST(target_signals_replay, answers_to_requests_from_before_the_rest_do_not_end_it)
+{
+    target state{make_info("t0")};
+    for (int i = 0; i < 3; ++i) {
+        state.begin_request(start, 0);
+    }
+    state.record_rest(start + 10ms, 1s);
+    for (int i = 0; i < 3; ++i) {
+        state.end_request(start + 1100ms, send_outcome::answered, 1100ms, {}, std::nullopt);
+    }
+    CHECK_TRUE(state.has_rested(start + 1100ms));
+    state.begin_request(start + 1100ms, 0);
+    CHECK_FALSE(state.has_rested(start + 1100ms));
+}
+
+TEST(target_signals_replay, callers_are_not_sent_away_for_the_rest_of_one_target)
+{
+    target_registry registry{regions};
+    registry.apply(start, make_targets(2), {}, true);
+    registry.find("t0")->record_rest(start, 60s);
+    auto tried = make_request(start, 5);
+    tried.tried = {registry.find("t1").get()};
+    DOUBLES_EQUAL(0, place(registry, tried, {}).error().remaining_rest.count(), 0.0);
+    registry.find("t1")->assume_cold(start + 10s);
+    DOUBLES_EQUAL(0, place(registry, make_request(start, 5), {}).error().remaining_rest.count(),
+                  0.0);
+}
+
+TEST(target_signals_replay, target_that_always_sheds_gets_few_requests)
+{
+    target_registry registry{regions};
+    registry.apply(start, make_targets(2), {}, true);
+    constexpr object_key object = 9;
+    const auto shedding = registry.find(place_id(registry, start, object));
+    std::size_t shed = 0;
+    for (duration at = 0s; at < 60s; at += 100ms) {
+        const auto now = start + at;
+        const auto placed = place(registry, make_request(now, object), {})->target;
+        placed->begin_request(now, object);
+        const bool sheds = placed == shedding;
+        shed += sheds ? 1 : 0;
+        placed->end_request(now, sheds ? send_outcome::shed : send_outcome::answered, 100ms, {},
+                            std::nullopt);
+    }
+    // A part of the first ones, and then one in 5 s.
+    CHECK_TRUE(shed >= 5);
+    CHECK_TRUE(shed <= 30);
+}
+
 TEST(target_signals_replay, huge_rest_is_bounded)
 {
     target state{make_info("t0")};
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -447,7 +447,9 @@
         // With this answer all targets may be known to rest.
         const auto next =
             dispatch::place(this->board, this->make_placement_question(state), estimate);
-        failed = next ? failed : next.error();
+        if (!next && next.error().remaining_rest > fractional_ms{}) {
+            failed = next.error();
+        }
     }
     const auto retry_after = this->return_time(state, failed);
     return this->refuse(state, shed ? refusal_reason::queue_full : refusal_reason::target_failed,
