--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -197,7 +197,7 @@
     // Whether the agreed state is at least as new as any that this host showed before a restart.
     bool caught_up{};
     agreement_lag lag;
-    // Whether the last written event said that this host doesn't follow the group.
+    // Whether the last event written by report_lag() said that this host is behind.
     bool reported_behind{};
     std::optional<std::string> reported_group_failure;
     relay_schedule relays;
--- a/bth/fleet/group_driver.h
+++ b/bth/fleet/group_driver.h
@@ -130,8 +130,8 @@
 private:
     using request_action = std::function<void(consensus::request_token)>;
 
-    // Interval of attempts to resume after the log couldn't be written. Each one reads the log,
-    // which takes milliseconds.
+    // Interval of attempts to resume after the log couldn't be written. Each one reads the whole
+    // log.
     static constexpr std::chrono::seconds resume_interval{1};
     // Shorter ticks would only cost processor time on the followers: election timeouts are twenty
     // to thirty times as long.
