--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -370,7 +370,8 @@
     question.cold_allowance = this->cold_allowance(state.service);
     question.remote_share = this->remote_object_share(now, state.service);
     question.owner_declined = state.declines > 0;
-    question.leaving_grace = this->settings.drain_time;
+    // The rest of the time is for the way to the target.
+    question.leaving_grace = this->settings.drain_time * 9 / 10;
     return question;
 }
 
