--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -150,6 +150,8 @@
         std::string request_bytes;
         bool is_head{};
         bool at_most_once{};
+        // Whether another host forwarded the request to this one.
+        bool forwarded{};
     };
 
     void apply_evacuations(time_point now, const std::set<std::string>& domains,
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -253,6 +253,9 @@
                 .with("expected_ms", std::chrono::duration_cast<duration>(placement.total()))
                 .with("wait_ms", std::chrono::duration_cast<duration>(placement.wait))
                 .with("at_target", target->occupancy(now))
+                .with("cold", target->is_cold(now))
+                .with("forwarded", outgoing.forwarded)
+                .with("connect_ms", result.connect_time.value_or(duration{}))
                 .with("outcome", outcome_name(result.outcome))
                 .with("took_ms", now - started));
     }
@@ -377,9 +380,9 @@
         }
     });
     ++this->in_flight;
-    outgoing_request outgoing{*placement,          handoff->route,       handoff->service,
-                              handoff->request_id, handoff->object,      handoff->request_bytes,
-                              handoff->is_head,    handoff->at_most_once};
+    outgoing_request outgoing{*placement,          handoff->route,        handoff->service,
+                              handoff->request_id, handoff->object,       handoff->request_bytes,
+                              handoff->is_head,    handoff->at_most_once, true};
     out.result = co_await this->send_directly(control, std::move(outgoing));
     --this->in_flight;
     const auto now = shell::monotonic_now();
