Split what a cold target accepts among senders that don't depend on the present list of hosts

Cause: each host chose a cold target's owner among the hosts that its control host names at the moment. After a reset of connections a control host names only those of the other failure domain; every host of the target's own domain added itself, was the only one there, and sent a whole owner's part. A second way: the part was counted when a request was placed, but after a reset requests wait for new connections and are written together. A third: a host that had not heard that a target is cold sent forwarded requests without any bound.

Now three senders of the region have a quarter of the bound each. Every write passes one gate that counts it right before its first byte. A forwarded request says for how long its target is cold.

--- a/bth/dispatch/cold_share.h
+++ b/bth/dispatch/cold_share.h
@@ -1,6 +1,7 @@
-// Splits the request rate that a cold target accepts among the hosts that may send to it.
+// Splits the request rate that a cold target accepts among the hosts that send to it.
 //
-//   const auto own_rate = cold_share(limit_per_second, host_count, rank_of_this_host);
+//   const auto split = split_cold_rate(limit_per_second);
+//   if (roster.is_sender(now, target, split.senders) && sent_in_last_second < split.per_sender) ...
 #pragma once
 
 #include <algorithm>
@@ -8,14 +9,23 @@
 
 namespace bth::dispatch {
 
-// Returns the requests per second that this host may send to a cold target. The shares add up to no
-// more than the limit if all hosts use the same `hosts` and each a different `rank` below it for
-// the target.
-constexpr std::uint32_t cold_share(double limit_per_second, std::uint32_t hosts, std::uint32_t rank)
+struct cold_rate_split {
+    // How many hosts send, and how many requests each of them in any second.
+    std::uint32_t senders{};
+    std::uint32_t per_sender{};
+};
+
+// Returns the split of the requests that a target accepts in any second. The limit holds even with
+// one sender more than intended.
+constexpr cold_rate_split split_cold_rate(double limit_per_second)
 {
-    const auto whole_limit = static_cast<std::uint32_t>(std::max(0.0, limit_per_second));
-    const std::uint32_t host_count = std::max<std::uint32_t>(hosts, 1);
-    return whole_limit / host_count + (rank < whole_limit % host_count ? 1 : 0);
+    constexpr std::uint32_t max_senders = 3;
+    constexpr double max_limit = 1e6;
+    const auto limit = static_cast<std::uint32_t>(std::clamp(limit_per_second, 0.0, max_limit));
+    if (limit > max_senders) {
+        return {max_senders, limit / (max_senders + 1)};
+    }
+    return {limit / 2 > 0 ? 1U : 0U, limit / 2};
 }
 
 } // namespace bth::dispatch
--- a/bth/dispatch/host_count.h
+++ b/bth/dispatch/host_count.h
@@ -2,7 +2,7 @@
 //
 //   host_count_tracker tracker;
 //   tracker.update(now, 9, 2);
-//   const auto own_rate = cold_share(limit, tracker.hosts(), tracker.rank());
+//   const double own_part = limit / tracker.hosts();
 #pragma once
 
 #include "bth/base/time.h"
--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -70,8 +70,8 @@
                              distance_between(request.domain, request.region, domain, region));
 }
 
-// Returns whether this host may send to a cold target. A cold target accepts only a low rate, and
-// only hosts of its own region know how many requests its owner sends to it.
+// Returns whether this host may send or forward a request to a cold target. A cold target accepts
+// only a low rate, which is split among hosts of its own region.
 bool may_use_cold_target(const target_registry& registry, const placement_request& request,
                          const target_ptr& candidate)
 {
--- a/bth/dispatch/target.cpp
+++ b/bth/dispatch/target.cpp
@@ -40,6 +40,15 @@
     mean += observation_weight * (observation - mean);
 }
 
+// Removes the times up to `oldest`, and returns how many are left.
+std::size_t count_since(std::deque<time_point>& times, time_point oldest)
+{
+    while (!times.empty() && times.front() <= oldest) {
+        times.pop_front();
+    }
+    return times.size();
+}
+
 } // namespace
 
 void target::update(time_point now, target_info info)
@@ -100,6 +109,7 @@
         this->record_failure(now);
         break;
     case send_outcome::abandoned:
+    case send_outcome::withheld:
         break;
     }
 }
@@ -185,11 +195,19 @@
 
 std::size_t target::sends_in_last_second(time_point now)
 {
-    while (!this->recent_sends.empty() &&
-           this->recent_sends.front() + std::chrono::seconds{1} <= now) {
-        this->recent_sends.pop_front();
-    }
-    return this->recent_sends.size();
+    return count_since(this->recent_sends, now - std::chrono::seconds{1});
+}
+
+void target::record_write(time_point now)
+{
+    this->writes_in_last_second(now);
+    this->recent_writes.push_back(now);
+}
+
+std::size_t target::writes_in_last_second(time_point now)
+{
+    constexpr std::chrono::milliseconds second_and_drift{1020};
+    return count_since(this->recent_writes, now - second_and_drift);
 }
 
 bool target::has_recent_object(object_key key) const
--- a/bth/dispatch/target.h
+++ b/bth/dispatch/target.h
@@ -9,6 +9,7 @@
 #include "bth/base/endpoint.h"
 #include "bth/base/time.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -54,6 +55,7 @@
     failed,      // The answer reports a failure of the target itself.
     timed_out,   // No answer was received in time.
     abandoned,   // The caller disconnected before the answer.
+    withheld,    // Nothing was sent, since the target accepts no further request now.
 };
 
 class target {
@@ -114,12 +116,24 @@
 
     // Returns whether the target is cold, by the list or by assume_cold().
     bool is_cold(time_point now) const { return now < this->cold_until; }
+    // Returns how long the target stays cold; 0 if it isn't.
+    duration remaining_cold_time(time_point now) const
+    {
+        return std::max<duration>(this->cold_until - now, {});
+    }
     // Treats the target as cold at least until `until`, whatever the list says, such as after an
     // outage.
     void assume_cold(time_point until);
     // Returns how many requests this host sent in the last second.
     std::size_t sends_in_last_second(time_point now);
 
+    // Records that a request is written to the target. It may have waited for its connection since
+    // begin_request(), so that requests that began in different seconds are written together.
+    void record_write(time_point now);
+    // Returns how many requests this host wrote in the last second. The second is taken a little
+    // longer, since the target's clock may run differently.
+    std::size_t writes_in_last_second(time_point now);
+
     // Returns whether the target is ejected: it has failed so often that it should get no requests
     // for now.
     bool is_ejected(time_point now) const { return now < this->ejected_until; }
@@ -172,8 +186,9 @@
     double mean_slowdown{1.0};
     // The objects of recent requests, latest first.
     std::deque<object_key> recent_objects;
-    // The times of recent sends, earliest first.
+    // The times of recent sends and writes, earliest first.
     std::deque<time_point> recent_sends;
+    std::deque<time_point> recent_writes;
 };
 
 } // namespace bth::dispatch
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -1,6 +1,5 @@
 #include "bth/gateway/gateway.h"
 
-#include "bth/dispatch/cold_share.h"
 #include "bth/gateway/internal/request_path.h"
 #include "bth/shell/net.h"
 
@@ -30,14 +29,8 @@
 // Bounds of the Retry-After time in responses to refused requests.
 constexpr std::chrono::milliseconds min_retry_after{50};
 constexpr std::chrono::milliseconds max_retry_after{2000};
-// Fraction of a cold target's rate that is used; the rest allows for requests that are delayed in
-// the network and arrive together with later ones.
-constexpr double cold_rate_safety_factor = 0.8;
-// Hosts that may consider themselves the owner of the same target while they can't reach each
-// other.
-constexpr double max_concurrent_owners = 2.5;
-// Maximum number of times that owners may decline a request; after one more it is refused. Each
-// time costs a round trip to another host.
+// Maximum number of times that a request may be declined; after one more it is refused. Each time
+// may cost a round trip to another host.
 constexpr std::uint32_t max_declines = 2;
 // Maximum number of unreachable targets after which a request is still retried; after one more it
 // is not, since this host itself may be disconnected.
@@ -97,7 +90,7 @@
                  field_names header_names, shell::event_log& events)
     : events{&events}, context{&context}, settings{std::move(settings)}, header_names{std::move(
                                                                              header_names)},
-      board{this->settings.regions}, owners{this->settings.name, this->settings.domain}
+      board{this->settings.regions}, senders{this->settings.name, this->settings.domain}
 {
     this->region = std::string{this->board.region_of(this->settings.domain)};
 }
@@ -108,14 +101,18 @@
     const auto now = shell::monotonic_now();
     this->entry_hosts.update(now, update.entry_count, update.entry_rank);
     if (update.entry_hosts) {
-        std::vector<dispatch::owner_candidate> hosts;
+        std::vector<dispatch::roster_host> hosts;
+        hosts.reserve(update.entry_hosts->size());
         for (const auto& host : *update.entry_hosts) {
-            if (host.ready) {
-                hosts.push_back({host.name, host.domain});
-            }
+            hosts.push_back({host.name, host.domain, host.ready});
         }
-        this->owners.set_hosts(std::move(hosts));
-        this->events->write(shell::event{"neighbours"}.with("ready", this->owners.host_count()));
+        this->senders.record_hosts(now, hosts);
+        this->events->write(shell::event{"neighbours"}
+                                .with("reported", hosts.size())
+                                .with("ready", this->senders.ready_host_count(now)));
+    }
+    if (update.in_contact) {
+        this->senders.record_contact(now);
     }
     const bool has_targets = update.targets.is_full || !update.targets.changed.empty() ||
                              !update.targets.removed.empty();
@@ -192,26 +189,14 @@
     this->forwarder->start();
 }
 
-const std::string& gateway::owner_of(const dispatch::target_info& target) const
-{
-    return this->owners.owner_of(target, [this](const std::string& host) {
-        return this->forwarder && this->forwarder->is_usable(host);
-    });
-}
-
-// Returns how many requests per second this host may send, as the owner, to a cold target of its
-// region. A target is cold for a while after its start, when it accepts only a low request rate.
-std::uint32_t gateway::cold_allowance(const std::string& service) const
+// Returns how the requests that a cold target of the service accepts are split among its senders. A
+// target is cold for a while after its start.
+dispatch::cold_rate_split gateway::cold_split(const std::string& service) const
 {
     const auto* service_settings = this->routes.find_service(service);
     const double rate = service_settings == nullptr ? 0.0 : service_settings->cold_rate;
     const auto& limits = this->settings.limits;
-    const double limit = (rate * limits.cold_factor + limits.cold_slack) * cold_rate_safety_factor;
-    if (this->entry_hosts.is_settled(shell::monotonic_now())) {
-        return static_cast<std::uint32_t>(limit / max_concurrent_owners);
-    }
-    return std::min<std::uint32_t>(
-        dispatch::cold_share(limit, this->entry_hosts.hosts(), this->entry_hosts.rank()), 1);
+    return dispatch::split_cold_rate(rate * limits.cold_factor + limits.cold_slack);
 }
 
 // Returns the fraction of the region's objects that other regions serve.
@@ -224,7 +209,7 @@
             (in_region ? capacity.own_slots : capacity.other_slots) += target->slots();
         }
     }
-    capacity.own_hosts = static_cast<double>(this->owners.host_count());
+    capacity.own_hosts = static_cast<double>(this->senders.ready_host_count(now));
     capacity.all_hosts = static_cast<double>(this->entry_hosts.hosts());
     const double wanted = dispatch::wanted_remote_share(capacity);
     // Until all hosts are known the fraction may be far off, so it must not become the value from
@@ -367,7 +352,7 @@
     question.remaining_time = state.deadline - now;
     question.remaining_objective = state.objective_deadline - now;
     question.priority = state.matched_route->priority;
-    question.cold_allowance = this->cold_allowance(state.service);
+    question.cold_allowance = this->cold_split(state.service).per_sender;
     question.remote_share = this->remote_object_share(now, state.service);
     question.owner_declined = state.declines > 0;
     // The rest of the time is for the way to the target.
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -7,11 +7,12 @@
 //   caller_response response = co_await request_gateway->serve(request);
 #pragma once
 
+#include "bth/dispatch/cold_share.h"
 #include "bth/dispatch/host_count.h"
-#include "bth/dispatch/ownership.h"
 #include "bth/dispatch/placement.h"
 #include "bth/dispatch/region_share.h"
 #include "bth/dispatch/retry_window.h"
+#include "bth/dispatch/sender_roster.h"
 #include "bth/dispatch/target_registry.h"
 #include "bth/fleet/messages.h"
 #include "bth/gateway/caller_response.h"
@@ -85,7 +86,7 @@
     // deadline passes, and returns the response for the caller.
     boost::asio::awaitable<caller_response> serve(std::shared_ptr<served_request> request);
 
-    // Starts to forward requests to the owners of their targets over `link`, and to serve those
+    // Starts to forward requests to the senders of their targets over `link`, and to serve those
     // that other hosts forward to this one. `use_host` connects the link to a host.
     void enable_forwarding(std::shared_ptr<shell::peer_link> link,
                            request_forwarder::use_handler use_host);
@@ -133,7 +134,8 @@
         // Number of attempts, without those that could not reach their target.
         std::uint32_t attempts{};
         std::uint32_t unreachable_targets{};
-        // How often an owner declined the request, and the wait that the last of them expected.
+        // How often the request was declined by a sender or withheld here, and the wait that was
+        // expected the last time.
         std::uint32_t declines{};
         dispatch::fractional_ms last_declined_wait{};
         std::vector<dispatch::target_ptr> tried_targets;
@@ -162,11 +164,15 @@
     dispatch::placement_request make_placement_question(const request_state& state);
     std::string request_bytes(const request_state& state, const dispatch::placement& placement,
                               time_point now) const;
-    // Sends through the target's owner or directly. Returns nullopt if the owner declined.
+    // Sends directly or through one of the target's senders. Returns nullopt if that declined, or
+    // if the target accepts no further request now; nothing was sent then.
     boost::asio::awaitable<std::optional<send_result>> send(request_state& state,
                                                             const dispatch::placement& placement);
     boost::asio::awaitable<std::optional<send_result>>
-    forward_to_owner(request_state& state, const std::string& owner, outgoing_request outgoing);
+    forward_to_sender(request_state& state, const std::string& sender, outgoing_request outgoing);
+    // Records that the request can't go to the target now, and for how long others are preferred.
+    void decline(request_state& state, dispatch::target& target, const std::string& sender,
+                 std::string_view reason);
     boost::asio::awaitable<send_result> send_directly(std::shared_ptr<send_control> control,
                                                       outgoing_request outgoing);
     std::optional<dispatch::placement> admit_handoff(const handoff_request& handoff,
@@ -175,8 +181,14 @@
     boost::asio::awaitable<handoff_outcome>
     serve_handoff(std::shared_ptr<const handoff_request> handoff,
                   std::shared_ptr<send_control> control);
-    const std::string& owner_of(const dispatch::target_info& target) const;
-    std::string sending_host(const dispatch::target& target) const;
+    // Returns the host that sends a request to the target; nullopt if none can now.
+    std::optional<std::string> sending_host(const dispatch::target& target);
+    // Returns whether a request may be written to the target now, and counts it if so. Everything
+    // that this host sends passes here, right before its first byte.
+    bool admit_write(dispatch::target& target, const std::string& service);
+    // Returns whether this host is a sender of the target, which accepts only few requests.
+    bool is_sender(time_point now, const dispatch::target& target,
+                   const std::string& service) const;
     void update_work_estimate(const outgoing_request& outgoing, const send_result& result,
                               dispatch::fractional_ms took);
     bool spend_retry(request_state& state, const send_result& result);
@@ -184,7 +196,7 @@
     caller_response finish(const request_state& state, caller_response response,
                            std::string_view ended_by);
     caller_response make_failure_response(const request_state& state, const send_result& result);
-    std::uint32_t cold_allowance(const std::string& service) const;
+    dispatch::cold_rate_split cold_split(const std::string& service) const;
     double remote_object_share(time_point now, const std::string& service);
     // Records what a target said about itself in the answer to a request.
     void record_signals(time_point now, dispatch::target& target, const target_signals& signals,
@@ -215,7 +227,9 @@
     std::map<std::string, dispatch::retry_window> retry_windows;
     std::map<std::string, dispatch::rate_limited_share> remote_shares;
     dispatch::host_count_tracker entry_hosts;
-    dispatch::owner_selector owners;
+    dispatch::sender_roster senders;
+    // Differs from one forwarded request to the next, so that all senders get some.
+    std::size_t turn{};
     std::shared_ptr<request_forwarder> forwarder;
     std::size_t in_flight{};
     std::mt19937 random{std::random_device{}()};
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -49,6 +49,8 @@
         return "timed_out";
     case send_outcome::abandoned:
         return "abandoned";
+    case send_outcome::withheld:
+        return "withheld";
     }
     return "unknown";
 }
@@ -107,30 +109,83 @@
                               state.request->message.method() == http::verb::head,
                               state.matched_route->repeat == repeatability::at_most_once};
     state.tried_targets.push_back(target);
-    const auto owner = this->sending_host(*target);
-    if (owner != this->settings.name) {
-        co_return co_await this->forward_to_owner(state, owner, std::move(outgoing));
+    const auto sender = this->sending_host(*target);
+    if (!sender) {
+        this->decline(state, *target, "", "no_sender");
+        co_return std::nullopt;
+    }
+    if (*sender != this->settings.name) {
+        co_return co_await this->forward_to_sender(state, *sender, std::move(outgoing));
     }
     ++state.attempts;
     auto result = co_await this->send_directly(state.request->control, std::move(outgoing));
+    if (result.outcome == send_outcome::withheld) {
+        --state.attempts;
+        this->decline(state, *target, *sender, "withheld");
+        co_return std::nullopt;
+    }
     state.may_have_run = state.may_have_run || result.may_have_run;
     co_return result;
 }
 
-// Returns the host that sends requests to a target. A cold target can handle only few requests, and
-// only its owner knows how many all hosts send to it, so requests to it go through the owner. To
-// other targets each host sends directly: forwarding sends the bytes of a request and its response
-// over two more host links, and a busy link delays more responses than better knowledge of the
-// queue keeps in time.
-std::string gateway::sending_host(const dispatch::target& target) const
+// A cold target accepts only few requests of all hosts together, so those to it go through its
+// senders. To other targets each host sends directly: forwarding sends the bytes of a request and
+// its response over two more host links, and a busy link delays more responses than better
+// knowledge of the queue keeps in time.
+std::optional<std::string> gateway::sending_host(const dispatch::target& target)
+{
+    const auto now = shell::monotonic_now();
+    if (!target.is_cold(now) || this->is_sender(now, target, target.info().service)) {
+        return this->settings.name;
+    }
+    const auto split = this->cold_split(target.info().service);
+    auto candidates = this->senders.senders_of(now, target.info(), split.senders);
+    std::erase_if(candidates, [this](std::string_view host) {
+        return host == this->settings.name || !this->senders.is_ready(host) || !this->forwarder ||
+               !this->forwarder->is_usable(std::string{host});
+    });
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    return std::string{candidates[this->turn++ % candidates.size()]};
+}
+
+bool gateway::is_sender(time_point now, const dispatch::target& target,
+                        const std::string& service) const
 {
-    const bool in_region = this->board.region_of(target.info().domain) == this->region;
-    const bool by_owner = in_region && target.is_cold(shell::monotonic_now());
-    return by_owner ? this->owner_of(target.info()) : this->settings.name;
+    return this->board.region_of(target.info().domain) == this->region &&
+           this->senders.is_sender(now, target.info(), this->cold_split(service).senders);
+}
+
+bool gateway::admit_write(dispatch::target& target, const std::string& service)
+{
+    const auto now = shell::monotonic_now();
+    const bool has_room = !target.is_cold(now) || (this->is_sender(now, target, service) &&
+                                                   target.writes_in_last_second(now) <
+                                                       this->cold_split(service).per_sender);
+    if (has_room) {
+        target.record_write(now);
+    }
+    return has_room;
+}
+
+void gateway::decline(request_state& state, dispatch::target& target, const std::string& sender,
+                      std::string_view reason)
+{
+    constexpr std::chrono::milliseconds unfit_ejection{300};
+    ++state.declines;
+    state.last_declined_wait = {};
+    target.eject(shell::monotonic_now() + unfit_ejection);
+    this->events->write(shell::event{"declined"}
+                            .with("request", state.id)
+                            .with("target", target.info().id)
+                            .with("owner", sender)
+                            .with("reason", reason));
 }
 
 boost::asio::awaitable<std::optional<send_result>>
-gateway::forward_to_owner(request_state& state, const std::string& owner, outgoing_request outgoing)
+gateway::forward_to_sender(request_state& state, const std::string& sender,
+                           outgoing_request outgoing)
 {
     const auto started = shell::monotonic_now();
     const auto target = outgoing.placement.target;
@@ -145,14 +200,15 @@
                             outgoing.at_most_once,
                             state.deadline - started,
                             state.objective_deadline - started,
-                            state.matched_route->priority};
+                            state.matched_route->priority,
+                            target->remaining_cold_time(started)};
     target->begin_request(started, outgoing.object);
     auto reply =
-        co_await this->forwarder->forward(owner, std::move(handoff), state.request->control);
+        co_await this->forwarder->forward(sender, std::move(handoff), state.request->control);
     const auto now = shell::monotonic_now();
     const bool sent = reply && reply->declined == decline_reason::none;
     const auto outcome = sent ? reply->result.outcome : send_outcome::abandoned;
-    // The target's owner measures how fast the target responds. This host records only the end and
+    // The sender measures how fast the target responds. This host records only the end and
     // the outcome of the request, which affect its choice of targets.
     target->end_request(now, outcome, {}, {}, std::nullopt);
     if (reply) {
@@ -169,7 +225,7 @@
         this->events->write(shell::event{"declined"}
                                 .with("request", state.id)
                                 .with("target", target->info().id)
-                                .with("owner", owner)
+                                .with("owner", sender)
                                 .with("reason", !reply ? "unreachable"
                                                 : reply->declined == decline_reason::full ? "full"
                                                                                           : "unfit")
@@ -214,7 +270,10 @@
         outgoing.is_head,
         outgoing.at_most_once ? duration{max_idle_at_most_once} : duration{max_idle_repeatable},
         std::chrono::duration_cast<duration>(this->delays.connect_timeout(domain, from_here)),
-        &this->header_names};
+        &this->header_names,
+        [self = shared_from_this(), target, service = outgoing.service] {
+            return self->admit_write(*target, service);
+        }};
     const auto failures_before = target->consecutive_failures();
     auto result =
         co_await send_to_target(this->connections, std::move(control), std::move(request));
@@ -320,8 +379,8 @@
             .with("cold", target.is_cold(now)));
 }
 
-// Decides, as the owner of the target, whether to send a forwarded request. Returns nullopt and
-// sets the reason in `out` if not.
+// Decides, as a sender of the target, whether to send a forwarded request. Returns nullopt and sets
+// the reason in `out` if not.
 std::optional<dispatch::placement> gateway::admit_handoff(const handoff_request& handoff,
                                                           handoff_outcome& out)
 {
@@ -331,6 +390,11 @@
     if (!target || this->stopping) {
         return std::nullopt;
     }
+    // Only requests to cold targets are forwarded, and the other host may know it first.
+    target->assume_cold(now + std::chrono::duration_cast<duration>(handoff.remaining_cold_time));
+    if (target->is_cold(now) && !this->is_sender(now, *target, handoff.service)) {
+        return std::nullopt;
+    }
     dispatch::placement_request question;
     question.now = now;
     question.service = handoff.service;
@@ -342,7 +406,7 @@
     question.remaining_time = handoff.remaining_time;
     question.remaining_objective = handoff.remaining_objective_time;
     question.priority = handoff.priority;
-    question.cold_allowance = this->cold_allowance(handoff.service);
+    question.cold_allowance = this->cold_split(handoff.service).per_sender;
     question.remote_share = this->remote_object_share(now, handoff.service);
     const auto placement = dispatch::place_on_target(
         this->board, question, target, this->work_estimate_for(handoff.route, handoff.service));
@@ -385,6 +449,10 @@
                               handoff->is_head,    handoff->at_most_once, true};
     out.result = co_await this->send_directly(control, std::move(outgoing));
     --this->in_flight;
+    if (out.result.outcome == send_outcome::withheld) {
+        out.declined = decline_reason::unfit;
+        out.result = {};
+    }
     const auto now = shell::monotonic_now();
     out.took = now - started;
     out.at_target = static_cast<std::uint32_t>(std::lround(placement->target->occupancy(now)));
--- a/bth/gateway/handoff.cpp
+++ b/bth/gateway/handoff.cpp
@@ -43,6 +43,7 @@
     out.time_left_ms = to_whole_ms(from.remaining_time);
     out.objective_left_ms = to_whole_ms(from.remaining_objective_time);
     out.priority = from.priority;
+    out.cold_ms = to_whole_ms(from.remaining_cold_time);
     return out;
 }
 
@@ -61,6 +62,7 @@
     out.remaining_time = std::chrono::milliseconds{from.time_left_ms};
     out.remaining_objective_time = std::chrono::milliseconds{from.objective_left_ms};
     out.priority = from.priority;
+    out.remaining_cold_time = std::chrono::milliseconds{from.cold_ms};
     return out;
 }
 
--- a/bth/gateway/handoff.h
+++ b/bth/gateway/handoff.h
@@ -1,5 +1,5 @@
-// Messages between entry hosts by which a host forwards a request to the owner of its target. The
-// owner is the host of the region that knows how many requests all hosts send to the target.
+// Messages between entry hosts by which a host forwards a request to a sender of its target, one of
+// the few hosts that send to a target which accepts only few requests.
 //
 //   std::string payload = encode_handoff(handoff_request{...});
 //   if (auto decoded = decode_handoff(payload)) { std::visit(handler, *decoded); }
@@ -18,7 +18,7 @@
 
 namespace bth::gateway {
 
-// A request that the owner of the target is to send.
+// A request that a sender of the target is to send.
 struct handoff_request {
     // Unique among the requests of the forwarding host; repeated in the outcome.
     std::uint64_t id{};
@@ -39,23 +39,26 @@
     dispatch::fractional_ms remaining_objective_time{};
     // 0 is the most urgent priority.
     std::uint32_t priority{};
+    // How long the target stays cold, as far as the forwarding host knows.
+    dispatch::fractional_ms remaining_cold_time{};
 };
 
-// Why the owner of a target did not send a forwarded request. The values go over the wire.
+// Why a sender did not send a forwarded request. The values go over the wire.
 enum class decline_reason : std::uint8_t {
     none,  // The request was sent.
-    unfit, // The target can't be used now or is unknown to the owner, or the owner is stopping.
+    unfit, // The target can't be used now or is unknown there, or the host is stopping or no
+           // sender.
     full,  // The queue at the target is too long for this request.
 };
 
-// The owner's reply to a forwarded request.
+// The sender's reply to a forwarded request.
 struct handoff_outcome {
     std::uint64_t id{};
     decline_reason declined{decline_reason::none};
     send_result result;
-    // The owner recently sent the target another request for the same object.
+    // The sender recently sent the target another request for the same object.
     bool object_sent_recently{};
-    // Duration of the owner's attempt.
+    // Duration of the sender's attempt.
     dispatch::fractional_ms took{};
     // Expected wait for a slot at the target; if declined, the time after which to retry.
     dispatch::fractional_ms expected_wait{};
--- a/bth/gateway/internal/handoff_generated.h
+++ b/bth/gateway/internal/handoff_generated.h
@@ -198,6 +198,7 @@
   uint32_t time_left_ms = 0;
   uint32_t objective_left_ms = 0;
   uint32_t priority = 0;
+  uint32_t cold_ms = 0;
 };
 
 struct Order FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -215,7 +216,8 @@
     VT_ONCE = 20,
     VT_TIME_LEFT_MS = 22,
     VT_OBJECTIVE_LEFT_MS = 24,
-    VT_PRIORITY = 26
+    VT_PRIORITY = 26,
+    VT_COLD_MS = 28
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -253,6 +255,9 @@
   uint32_t priority() const {
     return GetField<uint32_t>(VT_PRIORITY, 0);
   }
+  uint32_t cold_ms() const {
+    return GetField<uint32_t>(VT_COLD_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -272,6 +277,7 @@
            VerifyField<uint32_t>(verifier, VT_TIME_LEFT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_OBJECTIVE_LEFT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint32_t>(verifier, VT_COLD_MS, 4) &&
            verifier.EndTable();
   }
   OrderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -319,6 +325,9 @@
   void add_priority(uint32_t priority) {
     fbb_.AddElement<uint32_t>(Order::VT_PRIORITY, priority, 0);
   }
+  void add_cold_ms(uint32_t cold_ms) {
+    fbb_.AddElement<uint32_t>(Order::VT_COLD_MS, cold_ms, 0);
+  }
   explicit OrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -343,10 +352,12 @@
     bool once = false,
     uint32_t time_left_ms = 0,
     uint32_t objective_left_ms = 0,
-    uint32_t priority = 0) {
+    uint32_t priority = 0,
+    uint32_t cold_ms = 0) {
   OrderBuilder builder_(_fbb);
   builder_.add_object(object);
   builder_.add_id(id);
+  builder_.add_cold_ms(cold_ms);
   builder_.add_priority(priority);
   builder_.add_objective_left_ms(objective_left_ms);
   builder_.add_time_left_ms(time_left_ms);
@@ -373,7 +384,8 @@
     bool once = false,
     uint32_t time_left_ms = 0,
     uint32_t objective_left_ms = 0,
-    uint32_t priority = 0) {
+    uint32_t priority = 0,
+    uint32_t cold_ms = 0) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -392,7 +404,8 @@
       once,
       time_left_ms,
       objective_left_ms,
-      priority);
+      priority,
+      cold_ms);
 }
 
 flatbuffers::Offset<Order> CreateOrder(flatbuffers::FlatBufferBuilder &_fbb, const OrderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -901,6 +914,7 @@
   { auto _e = time_left_ms(); _o->time_left_ms = _e; }
   { auto _e = objective_left_ms(); _o->objective_left_ms = _e; }
   { auto _e = priority(); _o->priority = _e; }
+  { auto _e = cold_ms(); _o->cold_ms = _e; }
 }
 
 inline flatbuffers::Offset<Order> Order::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -923,6 +937,7 @@
   auto _time_left_ms = _o->time_left_ms;
   auto _objective_left_ms = _o->objective_left_ms;
   auto _priority = _o->priority;
+  auto _cold_ms = _o->cold_ms;
   return bth::gateway::frames::CreateOrder(
       _fbb,
       _id,
@@ -936,7 +951,8 @@
       _once,
       _time_left_ms,
       _objective_left_ms,
-      _priority);
+      _priority,
+      _cold_ms);
 }
 
 inline OutcomeT *Outcome::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/bth/gateway/request_forwarder.h
+++ b/bth/gateway/request_forwarder.h
@@ -1,10 +1,10 @@
-// Forwards requests to the owners of their targets, and serves the requests that other hosts
+// Forwards requests to the senders of their targets, and serves the requests that other hosts
 // forward to this one.
 //
 //   auto forwarder = std::make_shared<request_forwarder>(context, link, use_host, events, serve);
 //   forwarder->start();
-//   if (forwarder->is_usable(owner)) {
-//       auto outcome = co_await forwarder->forward(owner, request, control);
+//   if (forwarder->is_usable(sender)) {
+//       auto outcome = co_await forwarder->forward(sender, request, control);
 //   }
 //
 // A host is connected when the first request is forwarded to it. One that can't be connected is
@@ -46,9 +46,9 @@
     // no attempt to connect to it failed lately.
     bool is_usable(const std::string& host) const;
 
-    // Forwards a request and returns the owner's reply. Returns nullopt if the request could not be
-    // sent to the host, so that it has not run. If the request is cancelled by `control` or the
-    // host is lost, the result states that the request may have run.
+    // Forwards a request and returns the other host's reply. Returns nullopt if the request could
+    // not be sent to the host, so that it has not run. If the request is cancelled by `control` or
+    // the host is lost, the result states that the request may have run.
     boost::asio::awaitable<std::optional<handoff_outcome>>
     forward(std::string host, handoff_request request, std::shared_ptr<send_control> control);
 
@@ -56,7 +56,7 @@
     std::size_t forwarded_in_flight() const { return this->serving.size(); }
 
 private:
-    // A request of this host that waits for the owner's reply.
+    // A request of this host that waits for the other host's reply.
     struct pending_forward {
         explicit pending_forward(boost::asio::io_context& context) : timer{context} {}
 
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -244,6 +244,16 @@
         }
         connect_time = took;
     }
+    if (request.admit_write && !request.admit_write()) {
+        if (connection->idle_timeout == duration{}) {
+            connection->idle_timeout = default_idle_timeout;
+        }
+        pool.release(request.target_id, std::move(connection), shell::monotonic_now());
+        send_result result;
+        result.outcome = send_outcome::withheld;
+        result.connect_time = connect_time;
+        co_return result;
+    }
     set_close_handler(*connection);
     boost::system::error_code error;
     co_await asio::async_write(connection->socket, asio::buffer(request.request_bytes),
--- a/bth/gateway/target_send.h
+++ b/bth/gateway/target_send.h
@@ -50,6 +50,8 @@
     // Time limit for opening a new connection.
     duration connect_timeout{};
     const field_names* header_names{};
+    // Returns whether the request may be sent now; called right before its first byte.
+    std::function<bool()> admit_write;
 };
 
 // The result of one attempt.
