Test that hosts together keep the limit that a target names; it fails

Stand-in targets can name a limit in their answers (Server-Limit, requests a second from all hosts together). Seen on the present code, counted at the target: 37 requests in 4 s from hosts that it had told, 14 allowed; 256 of 11 while other targets turn requests away; up to 176 of 8 if all targets are limited, and nobody is refused; 19 of 11 with hosts that freeze, start again and lose the control hosts. A new target on the same address and texts that are no numbers do no harm.

--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -15,6 +15,7 @@
 REQUEST_ID = PREFIX + "Request-Id"
 # Without the prefix, as the platform wrote it.
 LEAVING = "Server-Leaving"
+LIMIT = "Server-Limit"
 
 
 class Quiet(http.server.BaseHTTPRequestHandler):
@@ -56,13 +57,14 @@
     # What the answer said besides its result.
     leaving: bool = False
     rest: str = None
+    limit: str = None
     # When the answer had been written; nothing before that.
     answered: float = None
 
 
 class Target:
     """A target that counts the runs of each request, and can be told to be slow, shed or cut off,
-    to say in its answers that it leaves, and to turn all requests away for a rest.
+    to say in its answers that it leaves or takes only so many requests, and to turn all requests away for a rest.
     """
 
     def __init__(self, name, service, domain, endpoint):
@@ -71,6 +73,8 @@
         self.seconds = 0.005
         self.mode = "serve"
         self.leaving = False
+        # The text of the limit in all answers; None: there is none.
+        self.limit = None
         # The text of Retry-After in the answers that turn requests away; None: it serves.
         self.rest = None
         self.runs = {}
@@ -126,7 +130,12 @@
 
     def finish(self, request, arrival, status, headers, text=b""):
         arrival.leaving = self.leaving
-        request.answer(status, text, [*headers, (LEAVING, "1")] if arrival.leaving else headers)
+        # An answer that another target was expected says nothing of this one.
+        arrival.limit = self.limit if status != 421 else None
+        said = [(LEAVING, "1")] if arrival.leaving else []
+        if arrival.limit is not None:
+            said.append((LIMIT, arrival.limit))
+        request.answer(status, text, [*headers, *said])
         arrival.answered = time.monotonic()
 
     def arrivals(self):
