Keep the limit that a target names in sum over all hosts

Cause: nothing read the field. Each host keeping the limit alone would not do either: it holds for all hosts together.

A limited target is treated like a cold one: three senders of its region, by the roster, with a third of the limit each; the other hosts forward to them, and every write passes the gate that counts it. The parts are spaced, so that idle senders save up nothing and one sender too many stays within what is borne. In placement a limited target without room is passed over, and where all are limited the caller hears at once when the first has room. A limit holds until a run of the target names none. Values that are no numbers are ignored and logged once; others are bounded.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -79,6 +79,21 @@
            candidate->sends_in_last_second(request.now) < request.cold_allowance;
 }
 
+bool is_in_own_region(const target_registry& registry, const placement_request& request,
+                      const target_ptr& candidate)
+{
+    return registry.region_of(candidate->info().domain) == request.region;
+}
+
+// Returns whether this host may send or forward a request to a target that named a limit. Its
+// senders are hosts of its own region.
+bool has_room_within_limit(const target_registry& registry, const placement_request& request,
+                           const target_ptr& candidate)
+{
+    return is_in_own_region(registry, request, candidate) &&
+           candidate->wait_for_limit(request.now) == duration{};
+}
+
 bool may_use(const target_registry& registry, const placement_request& request,
              const target_ptr& candidate, target_filter filter)
 {
@@ -97,6 +112,9 @@
     if (candidate->is_cold(request.now) && !may_use_cold_target(registry, request, candidate)) {
         return false;
     }
+    if (candidate->limit() && !has_room_within_limit(registry, request, candidate)) {
+        return false;
+    }
     return filter == target_filter::any || !candidate->is_ejected(request.now);
 }
 
@@ -228,8 +246,8 @@
            best.placed.total() > request.remaining_objective;
 }
 
-// Returns why no target may serve the request: because all that could are resting, or because there
-// are none, or none that may be used now.
+// Returns why no target may serve the request: because all that could rest or have no room within
+// their limits for a known time, or because there are none, or none that may be used now.
 placement_error no_target_error(const target_registry& registry, const placement_request& request,
                                 const service_time_estimate& estimate)
 {
@@ -237,10 +255,14 @@
     bool any_recovers = false;
     for (const auto& candidate : registry.targets_of_service(request.service)) {
         const auto region = registry.region_of(candidate->info().domain);
-        if (registry.may_serve(*candidate) && is_region_allowed(request, region)) {
-            // 0 if it doesn't rest: it was tried, is cold, or recovers from a rest.
-            any_recovers = any_recovers || !candidate->has_rested(request.now);
-            const auto rest = candidate->remaining_rest(request.now);
+        // This host can't tell when a target of another region has room.
+        const bool is_known = !candidate->limit() || is_in_own_region(registry, request, candidate);
+        if (registry.may_serve(*candidate) && is_region_allowed(request, region) && is_known) {
+            // 0 if it doesn't wait: it was tried, is cold, or recovers from a rest.
+            any_recovers =
+                any_recovers || !candidate->has_rested(request.now) || candidate->limit();
+            const auto rest = std::max(candidate->remaining_rest(request.now),
+                                       candidate->wait_for_limit(request.now));
             shortest_rest = std::min(shortest_rest.value_or(rest), rest);
         }
     }
--- a/bth/dispatch/placement.h
+++ b/bth/dispatch/placement.h
@@ -18,6 +18,9 @@
 // asked for rest has no room until a known time; nothing waits for that here, since the caller can
 // wait as well, and then be served by any host.
 //
+// A target that named a limit has no room for this host until its senders may send again: requests
+// go elsewhere, and where all targets are limited, callers hear at once when to come back.
+//
 // Independently of objects, a target as a whole is cold for a while after its start, when it
 // accepts only a low request rate; see target::is_cold().
 #pragma once
@@ -104,7 +107,8 @@
     // How long the queue needs to shrink before the request can be placed. Where no queue is known,
     // the service time of a warm request.
     fractional_ms retry_after{};
-    // How long all targets that may serve the request still rest; 0 if one doesn't.
+    // How long all targets that may serve the request still rest, or have no room within the limits
+    // that they named; 0 if that isn't known of one.
     fractional_ms remaining_rest{};
 };
 
--- a/bth/dispatch/target.cpp
+++ b/bth/dispatch/target.cpp
@@ -148,6 +148,21 @@
     return std::max<duration>(this->rests_until - now, {});
 }
 
+bool target::record_limit(time_point now, double per_second)
+{
+    const auto before = this->limit();
+    this->rate.set(now, per_second);
+    return this->limit() != before;
+}
+
+bool target::lift_limit()
+{
+    const bool was_limited = this->limit().has_value();
+    this->rate.lift();
+    this->postponed_until = {};
+    return was_limited;
+}
+
 void target::recover_from_rest(time_point begun)
 {
     // Answers to requests from before the end of the rest don't show that it is over.
@@ -202,6 +217,7 @@
 {
     this->writes_in_last_second(now);
     this->recent_writes.push_back(now);
+    this->rate.count(now);
 }
 
 std::size_t target::writes_in_last_second(time_point now)
--- a/bth/dispatch/target.h
+++ b/bth/dispatch/target.h
@@ -8,6 +8,7 @@
 
 #include "bth/base/endpoint.h"
 #include "bth/base/time.h"
+#include "bth/dispatch/shared_rate.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -104,6 +105,31 @@
                (this->recovery_limit == 0 || this->own_in_flight < this->recovery_limit);
     }
 
+    // Records that the target named in an answer how many requests per second it accepts from all
+    // hosts together. Returns whether this differs from before.
+    bool record_limit(time_point now, double per_second);
+    // Records that the target answered without naming a limit. Returns whether there was one.
+    bool lift_limit();
+    // Records that the target named a limit that can't be understood. Returns whether that is the
+    // first time.
+    bool record_unreadable_limit() { return !std::exchange(this->had_unreadable_limit, true); }
+    // Returns the requests per second of all hosts that the target accepts; nullopt without limit.
+    const std::optional<double>& limit() const { return this->rate.per_second(); }
+    // Returns how long the target accepts no request of this host because of its limit.
+    duration wait_for_limit(time_point now) const
+    {
+        return this->limit() ? std::max<duration>(this->rate.wait(now), this->postponed_until - now)
+                             : duration{};
+    }
+    // Records that a sender of the target has no room for `length`.
+    void postpone(time_point now, duration length)
+    {
+        this->postponed_until = std::max(this->postponed_until, now + length);
+    }
+    // Returns whether the target accepts only few requests of all hosts together, so that those to
+    // it go through its senders.
+    bool is_shared_out(time_point now) const { return this->is_cold(now) || this->limit(); }
+
     // Returns how many requests of this host are in flight at the target.
     std::uint32_t in_flight() const { return this->own_in_flight; }
     // Estimates how many requests of all hosts are at the target.
@@ -129,6 +155,7 @@
 
     // Records that a request is written to the target. It may have waited for its connection since
     // begin_request(), so that requests that began in different seconds are written together.
+    // Counts against the target's limit, if it named one.
     void record_write(time_point now);
     // Returns how many requests this host wrote in the last second. The second is taken a little
     // longer, since the target's clock may run differently.
@@ -181,6 +208,9 @@
     // The limit of own requests in flight after a rest; 0 if there is none.
     std::uint32_t recovery_limit{};
     bool had_unreadable_rest{};
+    shared_rate rate;
+    time_point postponed_until;
+    bool had_unreadable_limit{};
     double mean_shed_share{};
     time_point last_shed_at;
     double mean_slowdown{1.0};
--- a/bth/gateway/fields.h
+++ b/bth/gateway/fields.h
@@ -28,6 +28,8 @@
     std::string load;
     // In responses: "1" if the target leaves.
     std::string leaving;
+    // In responses: the requests per second that the target accepts from all hosts together.
+    std::string limit;
 };
 
 } // namespace bth::gateway
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -185,10 +185,9 @@
     std::optional<std::string> sending_host(const dispatch::target& target);
     // Returns whether a request may be written to the target now, and counts it if so. Everything
     // that this host sends passes here, right before its first byte.
-    bool admit_write(dispatch::target& target, const std::string& service);
+    bool admit_write(dispatch::target& target);
     // Returns whether this host is a sender of the target, which accepts only few requests.
-    bool is_sender(time_point now, const dispatch::target& target,
-                   const std::string& service) const;
+    bool is_sender(time_point now, const dispatch::target& target) const;
     void update_work_estimate(const outgoing_request& outgoing, const send_result& result,
                               dispatch::fractional_ms took);
     bool spend_retry(request_state& state, const send_result& result);
@@ -197,10 +196,14 @@
                            std::string_view ended_by);
     caller_response make_failure_response(const request_state& state, const send_result& result);
     dispatch::cold_rate_split cold_split(const std::string& service) const;
+    // Returns how many hosts send to a target that accepts only few requests.
+    std::size_t sender_count(time_point now, const dispatch::target& target) const;
     double remote_object_share(time_point now, const std::string& service);
     // Records what a target said about itself in the answer to a request.
     void record_signals(time_point now, dispatch::target& target, const target_signals& signals,
                         std::string_view request_id);
+    void record_limit(time_point now, dispatch::target& target, const target_signals& signals,
+                      std::string_view request_id);
     // Logs the targets that an update of the list shows as leaving for the first time.
     void log_leaving(const std::vector<dispatch::target_info>& changed);
     // Returns when the caller of a request that can't be placed should come back.
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -128,18 +128,17 @@
     co_return result;
 }
 
-// A cold target accepts only few requests of all hosts together, so those to it go through its
-// senders. To other targets each host sends directly: forwarding sends the bytes of a request and
-// its response over two more host links, and a busy link delays more responses than better
-// knowledge of the queue keeps in time.
+// A target that is cold or named a limit accepts only few requests of all hosts together, so those
+// to it go through its senders. To other targets each host sends directly: forwarding sends the
+// bytes of a request and its response over two more host links, and a busy link delays more
+// responses than better knowledge of the queue keeps in time.
 std::optional<std::string> gateway::sending_host(const dispatch::target& target)
 {
     const auto now = shell::monotonic_now();
-    if (!target.is_cold(now) || this->is_sender(now, target, target.info().service)) {
+    if (!target.is_shared_out(now) || this->is_sender(now, target)) {
         return this->settings.name;
     }
-    const auto split = this->cold_split(target.info().service);
-    auto candidates = this->senders.senders_of(now, target.info(), split.senders);
+    auto candidates = this->senders.senders_of(now, target.info(), this->sender_count(now, target));
     std::erase_if(candidates, [this](std::string_view host) {
         return host == this->settings.name || !this->senders.is_ready(host) || !this->forwarder ||
                !this->forwarder->is_usable(std::string{host});
@@ -150,32 +149,41 @@
     return std::string{candidates[this->turn++ % candidates.size()]};
 }
 
-bool gateway::is_sender(time_point now, const dispatch::target& target,
-                        const std::string& service) const
+std::size_t gateway::sender_count(time_point now, const dispatch::target& target) const
+{
+    return target.is_cold(now) ? this->cold_split(target.info().service).senders
+                               : dispatch::shared_rate::senders;
+}
+
+bool gateway::is_sender(time_point now, const dispatch::target& target) const
 {
     return this->board.region_of(target.info().domain) == this->region &&
-           this->senders.is_sender(now, target.info(), this->cold_split(service).senders);
+           this->senders.is_sender(now, target.info(), this->sender_count(now, target));
 }
 
-bool gateway::admit_write(dispatch::target& target, const std::string& service)
+bool gateway::admit_write(dispatch::target& target)
 {
     const auto now = shell::monotonic_now();
-    const bool has_room = !target.is_cold(now) || (this->is_sender(now, target, service) &&
-                                                   target.writes_in_last_second(now) <
-                                                       this->cold_split(service).per_sender);
-    if (has_room) {
-        target.record_write(now);
+    const bool may_send = !target.is_shared_out(now) || this->is_sender(now, target);
+    const bool exceeds_cold_rate =
+        target.is_cold(now) &&
+        target.writes_in_last_second(now) >= this->cold_split(target.info().service).per_sender;
+    if (!may_send || exceeds_cold_rate || target.wait_for_limit(now) > duration{}) {
+        this->metrics.count_withheld();
+        return false;
     }
-    return has_room;
+    target.record_write(now);
+    return true;
 }
 
 void gateway::decline(request_state& state, dispatch::target& target, const std::string& sender,
                       std::string_view reason)
 {
     constexpr std::chrono::milliseconds unfit_ejection{300};
+    const auto now = shell::monotonic_now();
     ++state.declines;
-    state.last_declined_wait = {};
-    target.eject(shell::monotonic_now() + unfit_ejection);
+    state.last_declined_wait = std::max<duration>(unfit_ejection, target.wait_for_limit(now));
+    target.eject(now + unfit_ejection);
     this->events->write(shell::event{"declined"}
                             .with("request", state.id)
                             .with("target", target.info().id)
@@ -201,7 +209,8 @@
                             state.deadline - started,
                             state.objective_deadline - started,
                             state.matched_route->priority,
-                            target->remaining_cold_time(started)};
+                            target->remaining_cold_time(started),
+                            target->limit()};
     target->begin_request(started, outgoing.object);
     auto reply =
         co_await this->forwarder->forward(sender, std::move(handoff), state.request->control);
@@ -218,6 +227,11 @@
     if (!sent) {
         ++state.declines;
         state.last_declined_wait = reply ? reply->expected_wait : fractional_ms{};
+        if (reply && reply->declined == decline_reason::full && target->limit()) {
+            // Its other senders may have room sooner.
+            target->postpone(now, std::chrono::duration_cast<duration>(
+                                      reply->expected_wait / dispatch::shared_rate::senders));
+        }
         if (reply && reply->declined == decline_reason::unfit) {
             constexpr std::chrono::milliseconds unfit_ejection{300};
             target->eject(now + unfit_ejection);
@@ -271,8 +285,8 @@
         outgoing.at_most_once ? duration{max_idle_at_most_once} : duration{max_idle_repeatable},
         std::chrono::duration_cast<duration>(this->delays.connect_timeout(domain, from_here)),
         &this->header_names,
-        [self = shared_from_this(), target, service = outgoing.service] {
-            return self->admit_write(*target, service);
+        [self = shared_from_this(), target] {
+            return self->admit_write(*target);
         }};
     const auto failures_before = target->consecutive_failures();
     auto result =
@@ -300,7 +314,10 @@
             now + (service_settings == nullptr ? duration{} : service_settings->cold_time));
     }
     this->log_ejection_change(now, *target, failures_before, result);
-    this->metrics.observe_send(target->info().domain, outcome_name(result.outcome), now - started);
+    if (result.outcome != send_outcome::withheld) {
+        this->metrics.observe_send(target->info().domain, outcome_name(result.outcome),
+                                   now - started);
+    }
     if (result.outcome != send_outcome::answered || this->events->takes_usual()) {
         this->events->write(
             shell::event{"sent"}
@@ -313,6 +330,7 @@
                 .with("wait_ms", std::chrono::duration_cast<duration>(placement.wait))
                 .with("at_target", target->occupancy(now))
                 .with("cold", target->is_cold(now))
+                .with("limit_per_s", target->limit().value_or(0.0))
                 .with("forwarded", outgoing.forwarded)
                 .with("connect_ms", result.connect_time.value_or(duration{}))
                 .with("outcome", outcome_name(result.outcome))
@@ -345,6 +363,31 @@
                                 .with("target", target.info().id)
                                 .with("request", request_id));
     }
+    this->record_limit(now, target, signals, request_id);
+}
+
+void gateway::record_limit(time_point now, dispatch::target& target, const target_signals& signals,
+                           std::string_view request_id)
+{
+    if (signals.limit && target.record_limit(now, *signals.limit)) {
+        this->metrics.count_limit();
+        this->events->write(shell::event{"target_limits"}
+                                .with("target", target.info().id)
+                                .with("request", request_id)
+                                .with("named_per_s", *signals.limit)
+                                .with("limit_per_s", *target.limit())
+                                .with("sender", this->is_sender(now, target)));
+    }
+    if (signals.has_no_limit && target.lift_limit()) {
+        this->events->write(shell::event{"target_limit_lifted"}
+                                .with("target", target.info().id)
+                                .with("request", request_id));
+    }
+    if (signals.has_unreadable_limit && target.record_unreadable_limit()) {
+        this->events->write(shell::event{"limit_unreadable"}
+                                .with("target", target.info().id)
+                                .with("request", request_id));
+    }
 }
 
 void gateway::log_leaving(const std::vector<dispatch::target_info>& changed)
@@ -390,9 +433,17 @@
     if (!target || this->stopping) {
         return std::nullopt;
     }
-    // Only requests to cold targets are forwarded, and the other host may know it first.
+    // The other host may be the first to know why the target accepts only few requests.
     target->assume_cold(now + std::chrono::duration_cast<duration>(handoff.remaining_cold_time));
-    if (target->is_cold(now) && !this->is_sender(now, *target, handoff.service)) {
+    if (handoff.limit && !target->limit()) {
+        target->record_limit(now, *handoff.limit);
+    }
+    if (target->is_shared_out(now) && !this->is_sender(now, *target)) {
+        return std::nullopt;
+    }
+    if (const auto wait = target->wait_for_limit(now); wait > duration{}) {
+        out.expected_wait = wait;
+        out.declined = decline_reason::full;
         return std::nullopt;
     }
     dispatch::placement_request question;
@@ -450,7 +501,9 @@
     out.result = co_await this->send_directly(control, std::move(outgoing));
     --this->in_flight;
     if (out.result.outcome == send_outcome::withheld) {
-        out.declined = decline_reason::unfit;
+        const auto wait = placement->target->wait_for_limit(shell::monotonic_now());
+        out.declined = wait > duration{} ? decline_reason::full : decline_reason::unfit;
+        out.expected_wait = wait;
         out.result = {};
     }
     const auto now = shell::monotonic_now();
--- a/bth/gateway/handoff.cpp
+++ b/bth/gateway/handoff.cpp
@@ -44,6 +44,7 @@
     out.objective_left_ms = to_whole_ms(from.remaining_objective_time);
     out.priority = from.priority;
     out.cold_ms = to_whole_ms(from.remaining_cold_time);
+    out.limit_per_s = from.limit.value_or(0.0);
     return out;
 }
 
@@ -63,6 +64,9 @@
     out.remaining_objective_time = std::chrono::milliseconds{from.objective_left_ms};
     out.priority = from.priority;
     out.remaining_cold_time = std::chrono::milliseconds{from.cold_ms};
+    if (from.limit_per_s > 0.0) {
+        out.limit = from.limit_per_s;
+    }
     return out;
 }
 
@@ -83,6 +87,11 @@
         out.has_rest = true;
         out.rest_ms = to_whole_ms(*from.result.signals.rest);
     }
+    if (from.result.signals.limit) {
+        out.has_limit = true;
+        out.limit_per_s = *from.result.signals.limit;
+    }
+    out.has_no_limit = from.result.signals.has_no_limit;
     if (from.result.response) {
         const auto& response = *from.result.response;
         out.has_answer = true;
@@ -116,6 +125,11 @@
     if (from.has_rest) {
         out.result.signals.rest = std::chrono::milliseconds{from.rest_ms};
     }
+    // Comparing so rejects what is no number.
+    if (from.has_limit && from.limit_per_s >= 0.0) {
+        out.result.signals.limit = from.limit_per_s;
+    }
+    out.result.signals.has_no_limit = from.has_no_limit;
     if (from.has_answer) {
         out.result.response = caller_response{from.status, from.fields, to_text(from.body),
                                               from.bodyless_length, false};
--- a/bth/gateway/handoff.h
+++ b/bth/gateway/handoff.h
@@ -41,6 +41,8 @@
     std::uint32_t priority{};
     // How long the target stays cold, as far as the forwarding host knows.
     dispatch::fractional_ms remaining_cold_time{};
+    // The limit that the target named to the forwarding host.
+    std::optional<double> limit{};
 };
 
 // Why a sender did not send a forwarded request. The values go over the wire.
--- a/bth/gateway/handoff_test.cpp
+++ b/bth/gateway/handoff_test.cpp
@@ -1,6 +1,7 @@
 #include "bth/gateway/handoff.h"
 
 #include <chrono>
+#include <limits>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -46,6 +47,25 @@
     CHECK(encode_and_decode(sent).result.signals.rest == 2500ms);
 }
 
+TEST(handoff, what_hosts_know_of_a_shared_out_target_survives_a_round_trip)
+{
+    handoff_request request;
+    CHECK_FALSE(encode_and_decode(request).limit.has_value());
+    request.remaining_cold_time = 1500ms;
+    request.limit = 1.25;
+    DOUBLES_EQUAL(1500, encode_and_decode(request).remaining_cold_time.count(), 0.1);
+    DOUBLES_EQUAL(1.25, *encode_and_decode(request).limit, 0);
+    handoff_outcome sent;
+    CHECK_FALSE(encode_and_decode(sent).result.signals.limit.has_value());
+    CHECK_FALSE(encode_and_decode(sent).result.signals.has_no_limit);
+    sent.result.signals.limit = 0.0;
+    CHECK_TRUE(encode_and_decode(sent).result.signals.limit.has_value());
+    sent.result.signals.limit = std::numeric_limits<double>::quiet_NaN();
+    CHECK_FALSE(encode_and_decode(sent).result.signals.limit.has_value());
+    sent.result.signals.has_no_limit = true;
+    CHECK_TRUE(encode_and_decode(sent).result.signals.has_no_limit);
+}
+
 TEST(handoff, outcome_survives_a_round_trip)
 {
     handoff_outcome sent;
--- a/bth/gateway/internal/handoff_generated.h
+++ b/bth/gateway/internal/handoff_generated.h
@@ -199,6 +199,7 @@
   uint32_t objective_left_ms = 0;
   uint32_t priority = 0;
   uint32_t cold_ms = 0;
+  double limit_per_s = 0.0;
 };
 
 struct Order FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -217,7 +218,8 @@
     VT_TIME_LEFT_MS = 22,
     VT_OBJECTIVE_LEFT_MS = 24,
     VT_PRIORITY = 26,
-    VT_COLD_MS = 28
+    VT_COLD_MS = 28,
+    VT_LIMIT_PER_S = 30
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -258,6 +260,9 @@
   uint32_t cold_ms() const {
     return GetField<uint32_t>(VT_COLD_MS, 0);
   }
+  double limit_per_s() const {
+    return GetField<double>(VT_LIMIT_PER_S, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -278,6 +283,7 @@
            VerifyField<uint32_t>(verifier, VT_OBJECTIVE_LEFT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint32_t>(verifier, VT_COLD_MS, 4) &&
+           VerifyField<double>(verifier, VT_LIMIT_PER_S, 8) &&
            verifier.EndTable();
   }
   OrderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -328,6 +334,9 @@
   void add_cold_ms(uint32_t cold_ms) {
     fbb_.AddElement<uint32_t>(Order::VT_COLD_MS, cold_ms, 0);
   }
+  void add_limit_per_s(double limit_per_s) {
+    fbb_.AddElement<double>(Order::VT_LIMIT_PER_S, limit_per_s, 0.0);
+  }
   explicit OrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -353,8 +362,10 @@
     uint32_t time_left_ms = 0,
     uint32_t objective_left_ms = 0,
     uint32_t priority = 0,
-    uint32_t cold_ms = 0) {
+    uint32_t cold_ms = 0,
+    double limit_per_s = 0.0) {
   OrderBuilder builder_(_fbb);
+  builder_.add_limit_per_s(limit_per_s);
   builder_.add_object(object);
   builder_.add_id(id);
   builder_.add_cold_ms(cold_ms);
@@ -385,7 +396,8 @@
     uint32_t time_left_ms = 0,
     uint32_t objective_left_ms = 0,
     uint32_t priority = 0,
-    uint32_t cold_ms = 0) {
+    uint32_t cold_ms = 0,
+    double limit_per_s = 0.0) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -405,7 +417,8 @@
       time_left_ms,
       objective_left_ms,
       priority,
-      cold_ms);
+      cold_ms,
+      limit_per_s);
 }
 
 flatbuffers::Offset<Order> CreateOrder(flatbuffers::FlatBufferBuilder &_fbb, const OrderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -430,6 +443,9 @@
   bool leaves = false;
   bool has_rest = false;
   uint32_t rest_ms = 0;
+  bool has_limit = false;
+  double limit_per_s = 0.0;
+  bool has_no_limit = false;
 };
 
 struct Outcome FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -453,7 +469,10 @@
     VT_BODY = 32,
     VT_LEAVES = 34,
     VT_HAS_REST = 36,
-    VT_REST_MS = 38
+    VT_REST_MS = 38,
+    VT_HAS_LIMIT = 40,
+    VT_LIMIT_PER_S = 42,
+    VT_HAS_NO_LIMIT = 44
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -509,6 +528,15 @@
   uint32_t rest_ms() const {
     return GetField<uint32_t>(VT_REST_MS, 0);
   }
+  bool has_limit() const {
+    return GetField<uint8_t>(VT_HAS_LIMIT, 0) != 0;
+  }
+  double limit_per_s() const {
+    return GetField<double>(VT_LIMIT_PER_S, 0.0);
+  }
+  bool has_no_limit() const {
+    return GetField<uint8_t>(VT_HAS_NO_LIMIT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -532,6 +560,9 @@
            VerifyField<uint8_t>(verifier, VT_LEAVES, 1) &&
            VerifyField<uint8_t>(verifier, VT_HAS_REST, 1) &&
            VerifyField<uint32_t>(verifier, VT_REST_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_LIMIT, 1) &&
+           VerifyField<double>(verifier, VT_LIMIT_PER_S, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_NO_LIMIT, 1) &&
            verifier.EndTable();
   }
   OutcomeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -597,6 +628,15 @@
   void add_rest_ms(uint32_t rest_ms) {
     fbb_.AddElement<uint32_t>(Outcome::VT_REST_MS, rest_ms, 0);
   }
+  void add_has_limit(bool has_limit) {
+    fbb_.AddElement<uint8_t>(Outcome::VT_HAS_LIMIT, static_cast<uint8_t>(has_limit), 0);
+  }
+  void add_limit_per_s(double limit_per_s) {
+    fbb_.AddElement<double>(Outcome::VT_LIMIT_PER_S, limit_per_s, 0.0);
+  }
+  void add_has_no_limit(bool has_no_limit) {
+    fbb_.AddElement<uint8_t>(Outcome::VT_HAS_NO_LIMIT, static_cast<uint8_t>(has_no_limit), 0);
+  }
   explicit OutcomeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -627,8 +667,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     bool leaves = false,
     bool has_rest = false,
-    uint32_t rest_ms = 0) {
+    uint32_t rest_ms = 0,
+    bool has_limit = false,
+    double limit_per_s = 0.0,
+    bool has_no_limit = false) {
   OutcomeBuilder builder_(_fbb);
+  builder_.add_limit_per_s(limit_per_s);
   builder_.add_id(id);
   builder_.add_rest_ms(rest_ms);
   builder_.add_body(body);
@@ -639,6 +683,8 @@
   builder_.add_wait_ms(wait_ms);
   builder_.add_took_ms(took_ms);
   builder_.add_status(status);
+  builder_.add_has_no_limit(has_no_limit);
+  builder_.add_has_limit(has_limit);
   builder_.add_has_rest(has_rest);
   builder_.add_leaves(leaves);
   builder_.add_has_answer(has_answer);
@@ -669,7 +715,10 @@
     const std::vector<uint8_t> *body = nullptr,
     bool leaves = false,
     bool has_rest = false,
-    uint32_t rest_ms = 0) {
+    uint32_t rest_ms = 0,
+    bool has_limit = false,
+    double limit_per_s = 0.0,
+    bool has_no_limit = false) {
   auto fields__ = fields ? _fbb.CreateString(fields) : 0;
   auto bodyless_length__ = bodyless_length ? _fbb.CreateString(bodyless_length) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -692,7 +741,10 @@
       body__,
       leaves,
       has_rest,
-      rest_ms);
+      rest_ms,
+      has_limit,
+      limit_per_s,
+      has_no_limit);
 }
 
 flatbuffers::Offset<Outcome> CreateOutcome(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -915,6 +967,7 @@
   { auto _e = objective_left_ms(); _o->objective_left_ms = _e; }
   { auto _e = priority(); _o->priority = _e; }
   { auto _e = cold_ms(); _o->cold_ms = _e; }
+  { auto _e = limit_per_s(); _o->limit_per_s = _e; }
 }
 
 inline flatbuffers::Offset<Order> Order::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -938,6 +991,7 @@
   auto _objective_left_ms = _o->objective_left_ms;
   auto _priority = _o->priority;
   auto _cold_ms = _o->cold_ms;
+  auto _limit_per_s = _o->limit_per_s;
   return bth::gateway::frames::CreateOrder(
       _fbb,
       _id,
@@ -952,7 +1006,8 @@
       _time_left_ms,
       _objective_left_ms,
       _priority,
-      _cold_ms);
+      _cold_ms,
+      _limit_per_s);
 }
 
 inline OutcomeT *Outcome::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -982,6 +1037,9 @@
   { auto _e = leaves(); _o->leaves = _e; }
   { auto _e = has_rest(); _o->has_rest = _e; }
   { auto _e = rest_ms(); _o->rest_ms = _e; }
+  { auto _e = has_limit(); _o->has_limit = _e; }
+  { auto _e = limit_per_s(); _o->limit_per_s = _e; }
+  { auto _e = has_no_limit(); _o->has_no_limit = _e; }
 }
 
 inline flatbuffers::Offset<Outcome> Outcome::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1010,6 +1068,9 @@
   auto _leaves = _o->leaves;
   auto _has_rest = _o->has_rest;
   auto _rest_ms = _o->rest_ms;
+  auto _has_limit = _o->has_limit;
+  auto _limit_per_s = _o->limit_per_s;
+  auto _has_no_limit = _o->has_no_limit;
   return bth::gateway::frames::CreateOutcome(
       _fbb,
       _id,
@@ -1029,7 +1090,10 @@
       _body,
       _leaves,
       _has_rest,
-      _rest_ms);
+      _rest_ms,
+      _has_limit,
+      _limit_per_s,
+      _has_no_limit);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/bth/gateway/metrics.cpp
+++ b/bth/gateway/metrics.cpp
@@ -81,6 +81,11 @@
                                         "Retries that the budget of their service forbade.");
     this->rests = &add_counter(*this->registry, "bth_gateway_target_rests_total",
                                "Rests that targets asked for.");
+    this->limits = &add_counter(*this->registry, "bth_gateway_target_limits_total",
+                                "Limits that targets named, once for each new value.");
+    this->withheld =
+        &add_counter(*this->registry, "bth_gateway_withheld_total",
+                     "Requests not written because their target accepted no further one.");
     this->leaving_targets =
         &prometheus::BuildCounter()
              .Name("bth_gateway_targets_leaving_total")
--- a/bth/gateway/metrics.h
+++ b/bth/gateway/metrics.h
@@ -43,6 +43,10 @@
     void count_leaving_target(std::string_view learned_from);
     // Counts a rest that a target asked for.
     void count_rest() { this->rests->Increment(); }
+    // Counts a limit that a target named, once for each new value.
+    void count_limit() { this->limits->Increment(); }
+    // Counts a request that was not written, because its target accepted no further one.
+    void count_withheld() { this->withheld->Increment(); }
 
     // Current values of the gauges.
     struct gauge_values {
@@ -70,6 +74,8 @@
     std::array<std::array<prometheus::Counter*, refusal_reason_count>, priority_count> refusals{};
     prometheus::Counter* retries_denied;
     prometheus::Counter* rests;
+    prometheus::Counter* limits;
+    prometheus::Counter* withheld;
     prometheus::Family<prometheus::Counter>* leaving_targets;
     prometheus::Family<prometheus::Counter>* sends;
     prometheus::Family<prometheus::Histogram>* send_times;
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -130,9 +130,10 @@
     if (response.result() == http::status::misdirected_request) {
         return {};
     }
-    return read_target_signals(view(response[names.leaving]),
-                               response.result() == http::status::service_unavailable,
-                               view(response[http::field::retry_after]));
+    return read_target_signals({view(response[names.leaving]),
+                                view(response[http::field::retry_after]),
+                                view(response[names.limit])},
+                               response.result() == http::status::service_unavailable);
 }
 
 // Determines the outcome of the attempt from the target's response.
@@ -153,6 +154,7 @@
         out.outcome = send_outcome::broken;
         return out;
     }
+    out.signals.has_no_limit = !out.signals.limit && !out.signals.has_unreadable_limit;
     out.outcome = response.result_int() / 100 == 5 ? send_outcome::failed : send_outcome::answered;
     out.response = make_relayed_response(std::move(response), request.is_head);
     return out;
--- a/bth/gateway/target_signals.h
+++ b/bth/gateway/target_signals.h
@@ -1,7 +1,7 @@
-// What a target says about itself in an answer, beside the answer: that it leaves, and that it
-// wants no more requests for a while.
+// What a target says about itself in an answer, beside the answer: that it leaves, that it wants no
+// more requests for a while, and how many it accepts.
 //
-//   const auto signals = read_target_signals("1", true, "2.5");
+//   const auto signals = read_target_signals({.leaving = "1", .retry_after = "2.5"}, true);
 //   if (signals.leaves) { ... }
 //   if (signals.rest) { ... }
 #pragma once
@@ -20,12 +20,25 @@
     std::optional<duration> rest;
     // Whether the target stated such a time that is no positive number of seconds.
     bool has_unreadable_rest{};
+    // How many requests per second the target accepts from all hosts together.
+    std::optional<double> limit;
+    // Whether the target stated a limit that is no number, or a negative or infinite one.
+    bool has_unreadable_limit{};
+    // Whether the target ran the request and named no limit: an earlier one no longer holds.
+    bool has_no_limit{};
 };
 
-// Reads the values of the header fields by which a target says that it leaves, and after which time
-// to send again; empty if the answer lacks them. The latter counts only if the target turned the
-// request away because it is unavailable (`is_unavailable`).
-target_signals read_target_signals(std::string_view leaving, bool is_unavailable,
-                                   std::string_view retry_after);
+// The values of the header fields in which a target speaks of itself; empty if the answer lacks
+// them.
+struct target_signal_fields {
+    std::string_view leaving{};
+    std::string_view retry_after{};
+    std::string_view limit{};
+};
+
+// Reads what a target says about itself. The time after which to send again counts only if the
+// target turned the request away because it is unavailable (`is_unavailable`). `has_no_limit` is
+// left to the caller, who knows whether the request ran.
+target_signals read_target_signals(const target_signal_fields& fields, bool is_unavailable);
 
 } // namespace bth::gateway
