Bound the memory of answers that have no end

What callers would see: a target whose answer has no end, in a body, a chunk extension or a trailer, fills the memory of an entry host, which is killed with the requests of all its callers.

Cause: only a single body was bounded, by 64 MiB, and bytes that were not yet parsed not at all.

All answers that are being read share 32 MiB; above that those of more than 1 MiB are given up, so that small ones don't suffer. Unparsed bytes of a connection are bounded by 128 KiB.

--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -313,6 +313,12 @@
         target->assume_cold(
             now + (service_settings == nullptr ? duration{} : service_settings->cold_time));
     }
+    if (result.is_too_long) {
+        this->metrics.count_too_long_answer();
+        this->events->write(shell::event{"answer_too_long"}
+                                .with("request", outgoing.request_id)
+                                .with("target", target->info().id));
+    }
     this->log_ejection_change(now, *target, failures_before, result);
     if (result.outcome != send_outcome::withheld) {
         this->metrics.observe_send(target->info().domain, outcome_name(result.outcome),
--- a/bth/gateway/metrics.cpp
+++ b/bth/gateway/metrics.cpp
@@ -83,6 +83,9 @@
                                "Rests that targets asked for.");
     this->limits = &add_counter(*this->registry, "bth_gateway_target_limits_total",
                                 "Limits that targets named, once for each new value.");
+    this->too_long_answers =
+        &add_counter(*this->registry, "bth_gateway_too_long_answers_total",
+                     "Answers of targets that were given up because they were too long.");
     this->withheld =
         &add_counter(*this->registry, "bth_gateway_withheld_total",
                      "Requests not written because their target accepted no further one.");
--- a/bth/gateway/metrics.h
+++ b/bth/gateway/metrics.h
@@ -45,6 +45,8 @@
     void count_rest() { this->rests->Increment(); }
     // Counts a limit that a target named, once for each new value.
     void count_limit() { this->limits->Increment(); }
+    // Counts an answer that was given up because it was too long.
+    void count_too_long_answer() { this->too_long_answers->Increment(); }
     // Counts a request that was not written, because its target accepted no further one.
     void count_withheld() { this->withheld->Increment(); }
 
@@ -76,6 +78,7 @@
     prometheus::Counter* rests;
     prometheus::Counter* limits;
     prometheus::Counter* withheld;
+    prometheus::Counter* too_long_answers;
     prometheus::Family<prometheus::Counter>* leaving_targets;
     prometheus::Family<prometheus::Counter>* sends;
     prometheus::Family<prometheus::Histogram>* send_times;
--- a/bth/gateway/target_pool.h
+++ b/bth/gateway/target_pool.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "bth/base/time.h"
+#include "bth/gateway/response_budget.h"
 
 #include <cstddef>
 #include <map>
@@ -19,7 +20,13 @@
 namespace bth::gateway {
 
 struct target_connection {
-    explicit target_connection(const boost::asio::any_io_executor& executor) : socket{executor} {}
+    // Bytes that were received and not yet parsed. What is longer and has no end, such as a line,
+    // is no valid response.
+    static constexpr std::size_t max_unparsed_bytes = 128UL * 1024;
+
+    explicit target_connection(const boost::asio::any_io_executor& executor)
+        : socket{executor}, buffer{max_unparsed_bytes}
+    {}
 
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
@@ -45,8 +52,12 @@
     // Returns the number of idle connections to all targets.
     std::size_t size() const;
 
+    // The memory of the responses that are read from all connections.
+    response_budget& responses() { return this->response_memory; }
+
 private:
     std::map<std::string, std::vector<std::unique_ptr<target_connection>>> idle;
+    response_budget response_memory;
 };
 
 } // namespace bth::gateway
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -32,7 +32,6 @@
 // Maximum number of responses to earlier requests that are skipped on a connection. If one more
 // arrives, the attempt fails and the connection is closed.
 constexpr int max_stale_responses = 3;
-constexpr std::uint64_t max_response_bytes = 64ULL * 1024 * 1024;
 
 std::string_view view(boost::beast::string_view text)
 {
@@ -160,24 +159,52 @@
     return out;
 }
 
+// What is known of a response that was not received completely.
+struct partial_response {
+    target_signals signals;
+    bool is_too_long{};
+};
+
+bool is_length_error(const boost::system::error_code& error)
+{
+    return error == http::error::body_limit || error == http::error::header_limit ||
+           error == http::error::buffer_overflow;
+}
+
+// Reads one response. Returns an error also if all responses together take too much memory.
+asio::awaitable<boost::system::error_code>
+read_one(target_connection& connection, http::response_parser<http::string_body>& parser,
+         response_budget::share& memory)
+{
+    parser.body_limit(response_budget::max_total);
+    parser.eager(true);
+    boost::system::error_code error;
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(connection.socket, connection.buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        if (!memory.grow_to(parser.get().body().size())) {
+            error = http::error::body_limit;
+        }
+    }
+    co_return error;
+}
+
 // Reads responses until the one to this request; those before it belong to earlier requests. Clears
-// `reusable` if the connection can't be reused afterwards. Sets `signals` if only the head of the
-// response was received.
-asio::awaitable<std::optional<target_response>> read_response(target_connection& connection,
-                                                              const target_request& request,
-                                                              bool& reusable,
-                                                              target_signals& signals)
+// `reusable` if the connection can't be reused afterwards. Sets `partial` if the response was
+// not received completely.
+asio::awaitable<std::optional<target_response>>
+read_response(target_connection& connection, const target_request& request, response_budget& budget,
+              bool& reusable, partial_response& partial)
 {
     for (int stale_responses = 0; stale_responses <= max_stale_responses; ++stale_responses) {
         http::response_parser<http::string_body> parser;
-        parser.body_limit(max_response_bytes);
         parser.skip(request.is_head);
-        boost::system::error_code error;
-        co_await http::async_read(connection.socket, connection.buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
+        response_budget::share memory{budget};
+        const auto error = co_await read_one(connection, parser, memory);
         if (error) {
+            partial.is_too_long = is_length_error(error);
             if (parser.is_header_done() && matches_request(parser.get(), request)) {
-                signals = signals_of(parser.get(), *request.header_names);
+                partial.signals = signals_of(parser.get(), *request.header_names);
             }
             co_return std::nullopt;
         }
@@ -265,12 +292,14 @@
         co_return unanswered_result(*control, true);
     }
     bool reusable = true;
-    target_signals signals_of_head;
-    auto response = co_await read_response(*connection, request, reusable, signals_of_head);
+    partial_response partial;
+    auto response =
+        co_await read_response(*connection, request, pool.responses(), reusable, partial);
     control->close = nullptr;
     if (!response) {
         auto result = unanswered_result(*control, true);
-        result.signals = signals_of_head;
+        result.signals = partial.signals;
+        result.is_too_long = partial.is_too_long;
         co_return result;
     }
     if (reusable) {
--- a/bth/gateway/target_send.h
+++ b/bth/gateway/target_send.h
@@ -72,6 +72,8 @@
     bool connect_timed_out{};
     // What the target said about itself, also where its response wasn't received completely.
     target_signals signals{};
+    // Whether the response was given up because it is too long, or all that are being read are.
+    bool is_too_long{};
 };
 
 // Returns the result of an attempt that ended without a response. `may_have_been_sent`: a byte of
