Forget the times of old sends to targets that are never cold

The times of sends were only removed when they were counted, which is done for cold targets: eight bytes for each send to any other target were kept for good. Found by reading; no figure was measured.

--- a/bth/dispatch/target.cpp
+++ b/bth/dispatch/target.cpp
@@ -67,6 +67,7 @@
 void target::begin_request(time_point now, object_key key)
 {
     ++this->own_in_flight;
+    this->sends_in_last_second(now);
     this->recent_sends.push_back(now);
     if (key != 0) {
         std::erase(this->recent_objects, key);
