Bring cold and limited targets into the soak, and count what reaches them at the target

In the soak targets name limits and start again cold under the same address, while hosts are killed, frozen, stopped and lose the control hosts. Checked at the targets: what a limited one gets in 4 s from all hosts that it has told, and what a cold one gets in a second from all hosts. A process test restarts the control hosts while targets are cold.

--- a/process_tests/platform_limits_test.py
+++ b/process_tests/platform_limits_test.py
@@ -4,21 +4,15 @@
 import time
 
 import harness
-from platform_fleet import DOMAINS
+from platform_fleet import DOMAINS, ROUTES
 from platform_signals_test import AT_ONCE_S, PlatformSignalsTest
-from platform_standins import Target
+from platform_standins import (
+    CONTACT_S, LIMIT_WINDOW_S, Target, configuration, limit_bound, most_in_a_window, most_within_limit)
 
-# From this time after a target first named a limit, the limit binds the hosts that the target told this long ago.
-CONTACT_S = 3
-TOLD_S = 0.5
-WINDOW_S = 4
 # A host sends to such a target only once it has been in contact with the control hosts for six seconds.
 SETTLED_S = 7
-
-
-def allowed(limit):
-    """The most requests of all hosts together in any WINDOW_S."""
-    return 1.5 * limit * WINDOW_S + 5
+# The most requests a second that a cold target takes, by the fleet's settings and the configuration.
+COLD_BOUND = 5 * 1.5 + 5
 
 
 class PlatformLimitsTest(PlatformSignalsTest):
@@ -32,23 +26,13 @@
         time.sleep(SETTLED_S)
 
     def most_arrivals(self, target, since, excused=()):
-        """The most requests in a window that reached a target from hosts that it had told its limit."""
-        arrivals = [each for each in target.arrivals() if each.number and each.sender not in excused]
-        told = {}
-        for each in arrivals:
-            if each.limit is not None and each.answered:
-                told[each.sender] = min(each.answered, told.get(each.sender, each.answered))
-        first = min(told.values(), default=None)
-        if first is None:
-            return 0
-        times = sorted(each.at for each in arrivals if each.at >= max(since, first + CONTACT_S)
-                       and each.sender in told and each.at >= told[each.sender] + TOLD_S)
-        return max((sum(start <= each < start + WINDOW_S for each in times) for start in times), default=0)
+        return most_within_limit([each for each in target.arrivals()
+                                  if each.number and each.sender not in excused and each.at >= since])
 
     def check_limit(self, target, limit, since, excused=()):
         with self.subTest("the limit is kept"):
             self.assert_senders_known()
-            self.assertLessEqual(self.most_arrivals(target, since, excused), allowed(limit))
+            self.assertLessEqual(self.most_arrivals(target, since, excused), limit_bound(limit))
 
     def busiest(self):
         return max(self.targets, key=lambda each: len(each.arrivals()))
@@ -58,7 +42,7 @@
         with self.callers() as outcomes:
             limited.limit = "1.5"
             begun = time.monotonic()
-            time.sleep(CONTACT_S + 2 * WINDOW_S)
+            time.sleep(CONTACT_S + 2 * LIMIT_WINDOW_S)
         with self.subTest("the others serve all"):
             self.assert_outcomes(outcomes, {200})
         with self.subTest("the target is still used"):
@@ -72,7 +56,7 @@
             begun = time.monotonic()
             for each in self.targets:
                 each.mode = "serve" if each is limited else "shed"
-            time.sleep(CONTACT_S + WINDOW_S)
+            time.sleep(CONTACT_S + LIMIT_WINDOW_S)
             for each in self.targets:
                 each.mode = "serve"
         self.assertIsNot(limited, broken)
@@ -89,14 +73,14 @@
             lifted = time.monotonic()
             time.sleep(6)
         after = [each for each in limited.arrivals() if each.ran and each.at > lifted + 3]
-        self.assertGreater(len(after), allowed(1))
+        self.assertGreater(len(after), limit_bound(1))
 
     def test_callers_hear_at_once_when_to_come_back_if_all_targets_are_limited(self):
         for each in self.targets:
             each.limit = "0.5"
         begun = time.monotonic()
         with self.callers() as outcomes:
-            time.sleep(CONTACT_S + WINDOW_S)
+            time.sleep(CONTACT_S + LIMIT_WINDOW_S)
         for each in self.targets:
             self.check_limit(each, 0.5, begun)
         late = [each for each in outcomes if each.sent > begun + CONTACT_S]
@@ -142,8 +126,31 @@
         keys = itertools.cycle(range(40))
         self.until(lambda: self.ask("n1", str(next(keys))).server == new.name, "the new target is used")
         with self.callers():
-            time.sleep(WINDOW_S)
-        self.assertGreater(len([each for each in new.arrivals() if each.ran]), allowed(0.5))
+            time.sleep(LIMIT_WINDOW_S)
+        self.assertGreater(len([each for each in new.arrivals() if each.ran]), limit_bound(0.5))
+
+    def test_targets_that_start_again_cold_keep_their_bound_and_are_used(self):
+        self.put({**configuration(2, ROUTES, ["orders"])})
+        cold = [each for each in self.targets if each.domain.startswith("n")]
+        with self.callers(keys=40) as outcomes:
+            begun = time.monotonic()
+            for each in cold:
+                each.start_again(f"again-{each.name}", 4)
+            # The control hosts start again while the targets are cold, and name fewer hosts at first.
+            time.sleep(1)
+            for domain in DOMAINS:
+                self.controls[domain].kill()
+                self.start_control(domain, list(DOMAINS).index(domain))
+            time.sleep(5)
+        with self.subTest("no payment runs twice, and the others serve"):
+            self.assertEqual([each for each in outcomes if each.pays and self.runs_of(each.number) > 1][:3], [])
+            self.assertTrue([each for each in outcomes if each.status == 200])
+        for each in cold:
+            while_cold = [one for one in each.arrivals() if one.number and not one.misdirected
+                          and one.name.startswith("again") and begun <= one.at < each.cold_until]
+            with self.subTest(each.name):
+                self.assertLessEqual(most_in_a_window([one.at for one in while_cold], 1), COLD_BOUND)
+        self.assertTrue([one for each in cold for one in each.arrivals() if one.ran and one.name.startswith("again")])
 
     def test_limits_that_are_no_numbers_harm_nothing(self):
         texts = ("", "-1", "nan", "inf", "0x10", "1,5", "a lot")
--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -16,6 +16,8 @@
 - a route of a configuration that was acknowledged 2.5 s before isn't denied while a majority of control hosts is well;
 - a target that says in its answers that it leaves gets nothing sent later than the drain time from the hosts it told, and
   one that asks for rest gets at most two requests from a host in that time;
+- a target that names a limit gets no more than it allows from all hosts together that it has told;
+- a target that starts again cold gets no more than the bound in any second, from all hosts together, whatever befalls them;
 - once the faults have ended, every host serves again, and every control host takes part in the group.
 """
 import argparse
@@ -34,7 +36,8 @@
 import harness
 import platform_fleet
 from platform_fleet import DOMAINS, ROUTES, PlatformFleet
-from platform_standins import RECEIPT, Target, TargetList, configuration
+from platform_standins import (
+    CONTACT_S, LIMIT_WINDOW_S, RECEIPT, configuration, limit_bound, most_in_a_window, most_within_limit)
 
 # Seeds that have failed once, each with its cause. They are played again with every run in CI.
 KEPT = {
@@ -55,6 +58,8 @@
 # From here to the end of its rest a target gets at most so many requests from a host.
 REST_BEGINS_SECONDS = 0.5
 REST_BUDGET = 2
+# The most requests a second that a cold target takes, by the fleet's settings and the configuration.
+COLD_BOUND = 5 * 1.5 + 5
 RECOVERY_SECONDS = 20
 
 
@@ -152,7 +157,7 @@
         self.evacuated = {}
         self.runs_at = []
         self.version = 1
-        self.unsure = set()
+        self.limited, self.chilled = [], []
 
     def run(self):
         callers = [threading.Thread(target=self.call, args=(domain, number))
@@ -163,7 +168,7 @@
                   self.freeze_control, self.kill_all_controls, self.disturb_links, self.shed, self.hang_up,
                   self.evacuate, self.configure]
         # Disks are twice as likely as the others.
-        faults += [self.configuration_series, self.leave, self.rest] + 2 * [self.fill_control_disk]
+        faults += [self.configuration_series, self.leave, self.rest, self.limit, self.limit, self.chill, self.chill] + 2 * [self.fill_control_disk]
         busy = []
         while time.monotonic() - self.begun < FAULT_SECONDS:
             fault = self.chance.choice(faults)
@@ -322,6 +327,23 @@
         time.sleep(length)
         target.rest = None
 
+    def limit(self, length, pick):
+        target = self.some(self.fleet.targets, pick)
+        if target.limit is not None:
+            return
+        target.limit = f"{0.5 + 2 * pick:.2f}"
+        time.sleep(CONTACT_S + LIMIT_WINDOW_S / 2 + length)
+        self.limited.append((target, float(target.limit), time.monotonic()))
+        target.limit = None
+
+    def chill(self, length, pick):
+        """A target ends, and another one starts on its address, cold; others may follow at once."""
+        for target in self.fleet.targets[int(pick * len(self.fleet.targets))::2]:
+            if target.leaving or target.cold_until > time.monotonic():
+                continue
+            target.start_again(f"{target.name}*-{target.domain}", 1 + length)
+            self.chilled.append((target, target.name, time.monotonic(), target.cold_until))
+
     def evacuate(self, length, pick):
         domain = self.some(DOMAINS, pick)
         if domain in self.evacuated:
@@ -442,6 +464,28 @@
                 mine = [each for each in arrivals if each.sender == sender and each.number]
                 self.check_leaving(sender, mine)
                 self.check_rests(sender, mine)
+        self.check_limits()
+        self.check_cold()
+
+    def check_limits(self):
+        for target, limit, until in self.limited:
+            begun = min((each.at for each in target.arrivals() if each.limit is not None and each.at <= until),
+                        default=until)
+            # A restart, freeze or cut of a host excuses it.
+            arrivals = [each for each in target.arrivals() if each.number and begun <= each.at <= until and not (
+                self.was_disturbed(each.sender or "links", begun, each.at) or self.was_disturbed("links", begun, each.at))]
+            most = most_within_limit(arrivals, until)
+            if most > limit_bound(limit):
+                self.findings.append(f"{begun - self.begun:.1f}s {target.name} names {limit} a second and gets {most} "
+                                     f"in {LIMIT_WINDOW_S} s, {limit_bound(limit):.1f} allowed")
+
+    def check_cold(self):
+        for target, name, begun, until in self.chilled:
+            most = most_in_a_window([each.at for each in target.arrivals() if each.number and not each.misdirected
+                                     and each.name == name and begun <= each.at < until], 1)
+            if most > COLD_BOUND:
+                self.findings.append(f"{begun - self.begun:.1f}s {name}, cold, gets {most} in a second, "
+                                     f"{COLD_BOUND} allowed")
 
     def check_leaving(self, sender, arrivals):
         told = {}
--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -3,9 +3,11 @@
     target = Target("i-1", "orders", "n1", endpoint)
     platform = TargetList(endpoint, [target])
 """
+import bisect
 import dataclasses
 import http.server
 import json
+import math
 import threading
 import time
 import urllib.parse
@@ -54,6 +56,8 @@
     # What `Target.sender_of` says about the peer.
     sender: str
     ran: bool = False
+    # Whether another target was expected, which isn't counted as an arrival.
+    misdirected: bool = False
     # What the answer said besides its result.
     leaving: bool = False
     rest: str = None
@@ -75,6 +79,7 @@
         self.leaving = False
         # The text of the limit in all answers; None: there is none.
         self.limit = None
+        self.cold_until = 0
         # The text of Retry-After in the answers that turn requests away; None: it serves.
         self.rest = None
         self.runs = {}
@@ -106,6 +111,7 @@
         number = arrival.number
         echo = [(REQUEST_ID, number), (PREFIX + "Server-Load", "1,0,3")]
         if request.headers[PREFIX + "Expected-Instance"] != self.name:
+            arrival.misdirected = True
             self.finish(request, arrival, 421, [(PREFIX + "Instance-Id", self.name)])
             return
         rest = self.rest
@@ -144,7 +150,13 @@
 
     def entry(self):
         return {"service": self.service, "address": self.endpoint, "zone": self.domain,
-                "version": "v1", "slots": 3, "state": self.state, "coldRemainingS": 0}
+                "version": "v1", "slots": 3, "state": self.state,
+                "coldRemainingS": round(max(0, self.cold_until - time.monotonic()), 3)}
+
+    def start_again(self, name, cold_s):
+        """The target is another one from now on, at the same address, and cold."""
+        self.cold_until = time.monotonic() + cold_s
+        self.name = name
 
     def close(self):
         self.server.shutdown()
@@ -197,3 +209,31 @@
                             "coldStartS": 1, "coldPerS": 5} for name in services},
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutS": 3,
                    "idleTimeoutS": 15}}
+
+
+def most_in_a_window(times, window):
+    """The most of these times that lie within one window."""
+    times = sorted(times)
+    return max((bisect.bisect_left(times, start + window) - row for row, start in enumerate(times)), default=0)
+
+
+# What all hosts together may send to a target that named a limit, in any LIMIT_WINDOW_S: from CONTACT_S after it first did,
+# counting the hosts that it told TOLD_S ago or earlier.
+CONTACT_S = 3
+TOLD_S = 0.5
+LIMIT_WINDOW_S = 4
+
+
+def limit_bound(limit):
+    return 1.5 * limit * LIMIT_WINDOW_S + 5
+
+
+def most_within_limit(arrivals, until=math.inf):
+    """The most requests in a window that reached a limited target from hosts that it had told."""
+    told = {}
+    for each in arrivals:
+        if each.limit is not None and each.answered:
+            told[each.sender] = min(each.answered, told.get(each.sender, each.answered))
+    first = min(told.values(), default=math.inf)
+    return most_in_a_window([each.at for each in arrivals if first + CONTACT_S <= each.at <= until
+                             and each.at >= told.get(each.sender, math.inf) + TOLD_S], LIMIT_WINDOW_S)
