Let hosts of other regions learn that a target's limit was lifted

What callers would see: a target that no longer names a limit is used again in its own region only. Hosts of other regions are never its senders, so they got no answer that would tell them, and left it alone until it disappeared from the list. Found by reading the code of the limit.

Each of them tries the target once in a while, in its turn by its rank among all hosts: together a tenth of the limit, which keeps the bound. With nine hosts and a limit of 1 a second the first of them tries after 90 s. A new connection to a target that has no room is kept; one that was idle before is closed, since its idle time is not known any more.

--- a/bth/dispatch/placement.cpp
+++ b/bth/dispatch/placement.cpp
@@ -86,12 +86,13 @@
 }
 
 // Returns whether this host may send or forward a request to a target that named a limit. Its
-// senders are hosts of its own region.
+// senders are hosts of its own region; others only find out whether the limit still holds.
 bool has_room_within_limit(const target_registry& registry, const placement_request& request,
                            const target_ptr& candidate)
 {
-    return is_in_own_region(registry, request, candidate) &&
-           candidate->wait_for_limit(request.now) == duration{};
+    return is_in_own_region(registry, request, candidate)
+               ? candidate->wait_for_limit(request.now) == duration{}
+               : candidate->is_limit_probe_due(request.now);
 }
 
 bool may_use(const target_registry& registry, const placement_request& request,
--- a/bth/dispatch/placement_test.cpp
+++ b/bth/dispatch/placement_test.cpp
@@ -378,6 +378,40 @@
           placement_failure::no_target);
 }
 
+TEST(placement, limited_target_without_room_is_passed_over_and_callers_hear_when_it_has_some)
+{
+    target_registry registry{regions};
+    registry.apply(start, {make_info("a", "north-1"), make_info("b", "north-1")}, {}, true);
+    auto request = make_request(1);
+    registry.find("a")->record_limit(start, 1.0);
+    for (object_key key = 1; key < 20; ++key) {
+        request.key = key;
+        STRCMP_EQUAL("b", place(registry, request, estimate)->target->info().id.c_str());
+    }
+    registry.find("b")->record_limit(start, 0.5);
+    const auto refused = place(registry, request, estimate).error();
+    CHECK(refused.reason == placement_failure::overload);
+    DOUBLES_EQUAL(2625, refused.remaining_rest.count(), 1);
+    // A sender that was asked has room only later.
+    registry.find("a")->postpone(start, 4s);
+    DOUBLES_EQUAL(4000, place(registry, request, estimate).error().remaining_rest.count(), 1);
+    CHECK_TRUE(registry.find("a")->lift_limit());
+    CHECK_TRUE(place(registry, request, estimate).has_value());
+}
+
+TEST(placement, limited_target_of_another_region_is_tried_again_when_its_turn_comes)
+{
+    target_registry registry{regions};
+    registry.apply(start, {make_info("d", "south-1")}, {}, true);
+    const auto limited = registry.find("d");
+    limited->record_limit(start, 1.0);
+    limited->set_limit_probe(start + 60s);
+    auto request = make_request(1);
+    CHECK(place(registry, request, estimate).error().reason == placement_failure::no_target);
+    request.now = start + 60s;
+    CHECK_TRUE(place(registry, request, estimate).has_value());
+}
+
 TEST(placement, ejected_targets_are_used_when_there_is_no_other)
 {
     target_registry registry{regions};
--- a/bth/dispatch/shared_rate.h
+++ b/bth/dispatch/shared_rate.h
@@ -12,6 +12,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace bth::dispatch {
@@ -70,4 +72,19 @@
     time_point next_at;
 };
 
+// Returns how long a host of another region than the target's, which is never a sender, leaves a
+// target alone that named a limit. Then it sends one request, whose answer tells whether the limit
+// still holds. All `hosts` together use a small part of the limit so, each in its turn by `rank`.
+inline duration limit_probe_delay(double limit_per_second, std::uint32_t hosts, std::uint32_t rank)
+{
+    constexpr double probed_part_of_limit = 0.1;
+    constexpr std::chrono::hours max_delay{24};
+    const double limit =
+        std::clamp(limit_per_second, shared_rate::min_limit, shared_rate::max_limit);
+    const double turn = 1.0 / (probed_part_of_limit * limit);
+    const std::chrono::duration<double> delay{turn * (std::max(hosts, 1U) + rank)};
+    return std::chrono::duration_cast<duration>(
+        std::min<std::chrono::duration<double>>(delay, max_delay));
+}
+
 } // namespace bth::dispatch
--- a/bth/dispatch/shared_rate_test.cpp
+++ b/bth/dispatch/shared_rate_test.cpp
@@ -99,6 +99,29 @@
     CHECK(rate.wait(start) <= 100ms);
 }
 
+// Hosts of other regions have all been told the limit at the same time.
+TEST(shared_rate, probes_of_all_hosts_use_a_small_part_of_the_limit)
+{
+    for (const double limit : {0.2, 1.2, 7.5}) {
+        for (const std::uint32_t hosts : {6U, 85U, 273U}) {
+            std::vector<time_point> probes;
+            for (std::uint32_t rank = 0; rank < hosts; ++rank) {
+                auto at = start;
+                for (int i = 0; i < 3; ++i) {
+                    at += bth::dispatch::limit_probe_delay(limit, hosts, rank);
+                    probes.push_back(at);
+                }
+            }
+            std::sort(probes.begin(), probes.end());
+            for (auto first = probes.begin(); first != probes.end(); ++first) {
+                const auto in_window =
+                    std::lower_bound(first, probes.end(), *first + window) - first;
+                CHECK(static_cast<double>(in_window) <= 1.5 * limit + 2);
+            }
+        }
+    }
+}
+
 TEST(shared_rate, extreme_limits_are_bounded)
 {
     shared_rate rate;
--- a/bth/dispatch/target.h
+++ b/bth/dispatch/target.h
@@ -121,6 +121,10 @@
         return this->limit() ? std::max<duration>(this->rate.wait(now), this->postponed_until - now)
                              : duration{};
     }
+    // Records when this host, which is in another region, may try the target again although it
+    // named a limit; see limit_probe_delay().
+    void set_limit_probe(time_point at) { this->limit_probe_at = at; }
+    bool is_limit_probe_due(time_point now) const { return now >= this->limit_probe_at; }
     // Records that a sender of the target has no room for `length`.
     void postpone(time_point now, duration length)
     {
@@ -210,6 +214,7 @@
     bool had_unreadable_rest{};
     shared_rate rate;
     time_point postponed_until;
+    time_point limit_probe_at;
     bool had_unreadable_limit{};
     double mean_shed_share{};
     time_point last_shed_at;
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -202,6 +202,18 @@
     // Records what a target said about itself in the answer to a request.
     void record_signals(time_point now, dispatch::target& target, const target_signals& signals,
                         std::string_view request_id);
+    bool is_in_own_region(const dispatch::target& target) const
+    {
+        return this->board.region_of(target.info().domain) == this->region;
+    }
+    // Returns whether this host, which is in another region, is to find out now whether the limit
+    // that the target named still holds.
+    bool is_limit_probe_due(time_point now, const dispatch::target& target) const
+    {
+        return target.limit() && !target.is_cold(now) && !this->is_in_own_region(target) &&
+               target.is_limit_probe_due(now);
+    }
+    void defer_limit_probe(time_point now, dispatch::target& target) const;
     void record_limit(time_point now, dispatch::target& target, const target_signals& signals,
                       std::string_view request_id);
     // Logs the targets that an update of the list shows as leaving for the first time.
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -135,7 +135,8 @@
 std::optional<std::string> gateway::sending_host(const dispatch::target& target)
 {
     const auto now = shell::monotonic_now();
-    if (!target.is_shared_out(now) || this->is_sender(now, target)) {
+    if (!target.is_shared_out(now) || this->is_sender(now, target) ||
+        this->is_limit_probe_due(now, target)) {
         return this->settings.name;
     }
     auto candidates = this->senders.senders_of(now, target.info(), this->sender_count(now, target));
@@ -157,13 +158,18 @@
 
 bool gateway::is_sender(time_point now, const dispatch::target& target) const
 {
-    return this->board.region_of(target.info().domain) == this->region &&
+    return this->is_in_own_region(target) &&
            this->senders.is_sender(now, target.info(), this->sender_count(now, target));
 }
 
 bool gateway::admit_write(dispatch::target& target)
 {
     const auto now = shell::monotonic_now();
+    if (this->is_limit_probe_due(now, target)) {
+        this->defer_limit_probe(now, target);
+        target.record_write(now);
+        return true;
+    }
     const bool may_send = !target.is_shared_out(now) || this->is_sender(now, target);
     const bool exceeds_cold_rate =
         target.is_cold(now) &&
@@ -372,10 +378,21 @@
     this->record_limit(now, target, signals, request_id);
 }
 
+void gateway::defer_limit_probe(time_point now, dispatch::target& target) const
+{
+    if (target.limit()) {
+        target.set_limit_probe(now + dispatch::limit_probe_delay(*target.limit(),
+                                                                 this->entry_hosts.hosts(),
+                                                                 this->entry_hosts.rank()));
+    }
+}
+
 void gateway::record_limit(time_point now, dispatch::target& target, const target_signals& signals,
                            std::string_view request_id)
 {
-    if (signals.limit && target.record_limit(now, *signals.limit)) {
+    const bool is_new_limit = signals.limit && target.record_limit(now, *signals.limit);
+    if (is_new_limit) {
+        this->defer_limit_probe(now, target);
         this->metrics.count_limit();
         this->events->write(shell::event{"target_limits"}
                                 .with("target", target.info().id)
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -274,10 +274,12 @@
         connect_time = took;
     }
     if (request.admit_write && !request.admit_write()) {
-        if (connection->idle_timeout == duration{}) {
+        // A connection that was idle already is closed: nothing shows for how long the target still
+        // keeps it.
+        if (connect_time) {
             connection->idle_timeout = default_idle_timeout;
+            pool.release(request.target_id, std::move(connection), shell::monotonic_now());
         }
-        pool.release(request.target_id, std::move(connection), shell::monotonic_now());
         send_result result;
         result.outcome = send_outcome::withheld;
         result.connect_time = connect_time;
