--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -71,6 +71,9 @@
     to say in its answers that it leaves or takes only so many requests, and to turn all requests away for a rest.
     """
 
+    # Until when the list shows it as cold.
+    cold_until = 0
+
     def __init__(self, name, service, domain, endpoint):
         self.name, self.service, self.domain, self.endpoint = name, service, domain, endpoint
         self.state = "ready"
@@ -79,7 +82,6 @@
         self.leaving = False
         # The text of the limit in all answers; None: there is none.
         self.limit = None
-        self.cold_until = 0
         # The text of Retry-After in the answers that turn requests away; None: it serves.
         self.rest = None
         self.runs = {}
