Count the time at a stand-in target apart from the time at a host

Traced in ten plays beside a load of 18: all 24 late answers had reached their target 1 to 51 ms after they were sent, and 23 left it 0 to 44 ms before they were there (one was not recorded yet); the rest, more than a second, the stand-in took to find out who had sent the request.

In one more of the ten plays, on a machine with 10 fleets at once, the stand-in couldn't find out the sender of 2 of 6 requests to a target, whose connections were closed by then, and a payment ended in 504 after its timeout of 2 s.

--- a/process_tests/platform_limits_test.py
+++ b/process_tests/platform_limits_test.py
@@ -5,7 +5,7 @@
 
 import harness
 from platform_fleet import DOMAINS, ROUTES
-from platform_signals_test import AT_ONCE_S, PlatformSignalsTest
+from platform_signals_test import PlatformSignalsTest
 from platform_standins import (
     CONTACT_S, LIMIT_WINDOW_S, Target, configuration, limit_bound, most_in_a_window, most_within_limit)
 
@@ -87,7 +87,7 @@
         with self.subTest("served or refused for now, and at once"):
             self.assert_outcomes(late, {200, 503})
             self.assertEqual({each.status for each in late}, {200, 503})
-            self.assertEqual([each for each in late if each.took > AT_ONCE_S][:3], [])
+            self.assert_held_by_no_host(late)
         with self.subTest("refused with a time to come back"):
             self.assertEqual([each for each in late if each.status == 503
                               and not float(each.headers.get("retry-after", 0)) > 0][:3], [])
--- a/process_tests/platform_signals_test.py
+++ b/process_tests/platform_signals_test.py
@@ -132,6 +132,18 @@
                if each.pays and self.runs_of(each.number) != (1 if each.status == 200 else 0)]
         self.assertEqual(ran[:3], [])
 
+    def assert_held_by_no_host(self, outcomes):
+        """Each answer came at once, apart from the time that the request was at a target: beside load a stand-in takes
+        more than a second to find out who sent a request, before it answers.
+        """
+        at_targets = {}
+        for target in self.targets:
+            for each in target.arrivals():
+                until = each.answered or time.monotonic()
+                at_targets[each.number] = at_targets.get(each.number, 0) + until - each.at
+        held = [(round(each.took - at_targets.get(each.number, 0), 3), each) for each in outcomes]
+        self.assertEqual([each for each in held if each[0] > AT_ONCE_S][:3], [])
+
     def check_left_alone(self):
         for domain in DOMAINS:
             target = self.target_of(domain)
@@ -198,7 +210,7 @@
         self.assert_senders_known()
         with self.subTest("served or refused for now, and never hanging"):
             self.assert_outcomes(outcomes, {200, 503})
-            self.assertEqual([each for each in outcomes if each.took > AT_ONCE_S][:3], [])
+            self.assert_held_by_no_host(outcomes)
             self.assertEqual([each for each in outcomes if each.status == 503
                               and not float(each.headers.get("retry-after", 0)) > 0][:3], [])
         with self.subTest("nothing after the drain time"):
@@ -260,7 +272,7 @@
         self.assert_senders_known()
         with self.subTest("refused at once, and no payment has run"):
             self.assert_outcomes(refused, {503})
-            self.assertEqual([each for each in refused if each.took > AT_ONCE_S][:3], [])
+            self.assert_held_by_no_host(refused)
         with self.subTest("callers come back after the rest"):
             self.assertEqual((len(early), early[:3]), (0, []))
         with self.subTest("the rest is kept"):
