Log which requests repeat each other, and whether a target that broke off still accepts connections

The logs of a request that ends its targets show no more than that connections broke: not whether two requests are the same, which come with new ids, nor whether the target has ended. The line sent now has a fingerprint of what a caller repeats (its address, the method, host, path, query, object and body) and target_refuses, by one new connection right after a broken one. A connection that is accepted is kept for the next request. No decision uses either so far. Forwarded requests carry both.

--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "bth/dispatch/host_count.h"
 #include "bth/dispatch/placement.h"
 #include "bth/dispatch/region_share.h"
+#include "bth/dispatch/request_fingerprint.h"
 #include "bth/dispatch/retry_window.h"
 #include "bth/dispatch/sender_roster.h"
 #include "bth/dispatch/target_registry.h"
@@ -67,6 +68,7 @@
 // A request of a caller that is being served.
 struct served_request {
     caller_request message;
+    ipv4_address caller;
     time_point started;
     std::shared_ptr<send_control> control{std::make_shared<send_control>()};
 };
@@ -126,6 +128,7 @@
         std::string service;
         std::string id;
         std::string path;
+        dispatch::request_fingerprint fingerprint;
         // When the response is due, and when the latency objective of the route is missed.
         time_point deadline;
         time_point objective_deadline;
@@ -147,6 +150,7 @@
         std::string route;
         std::string service;
         std::string request_id;
+        dispatch::request_fingerprint fingerprint;
         dispatch::object_key object{};
         // The complete HTTP request to send to the target.
         std::string request_bytes;
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -104,6 +104,7 @@
                               state.matched_route->name,
                               state.service,
                               state.id,
+                              state.fingerprint,
                               state.object,
                               this->request_bytes(state, placement, shell::monotonic_now()),
                               state.request->message.method() == http::verb::head,
@@ -208,6 +209,7 @@
                             outgoing.route,
                             outgoing.service,
                             outgoing.request_id,
+                            outgoing.fingerprint,
                             outgoing.object,
                             std::move(outgoing.request_bytes),
                             outgoing.is_head,
@@ -326,6 +328,17 @@
                                 .with("target", target->info().id));
     }
     this->log_ejection_change(now, *target, failures_before, result);
+    if (result.outcome == send_outcome::broken && !result.is_too_long) {
+        // A connection that ends may have been reset on the way; a target that has crashed refuses
+        // new ones.
+        // Named objects, since g++ 12 destroys temporaries in the operand of co_await twice.
+        std::string target_id = target->info().id;
+        const auto timeout =
+            std::chrono::duration_cast<duration>(this->delays.connect_timeout(domain, from_here));
+        const auto reachability = co_await probe_target(this->connections, std::move(target_id),
+                                                        target->info().target_endpoint, timeout);
+        result.target_refuses = reachability == target_reachability::refuses;
+    }
     if (result.outcome != send_outcome::withheld) {
         this->metrics.observe_send(target->info().domain, outcome_name(result.outcome),
                                    now - started);
@@ -336,6 +349,7 @@
                 .with("request", outgoing.request_id)
                 .with("service", outgoing.service)
                 .with("target", target->info().id)
+                .with("fingerprint", outgoing.fingerprint.value())
                 .with("object", outgoing.object)
                 .with("warm", placement.warm)
                 .with("expected_ms", std::chrono::duration_cast<duration>(placement.total()))
@@ -346,6 +360,7 @@
                 .with("forwarded", outgoing.forwarded)
                 .with("connect_ms", result.connect_time.value_or(duration{}))
                 .with("outcome", outcome_name(result.outcome))
+                .with("target_refuses", result.target_refuses)
                 .with("took_ms", now - started));
     }
     co_return result;
@@ -518,9 +533,16 @@
         }
     });
     ++this->in_flight;
-    outgoing_request outgoing{*placement,          handoff->route,        handoff->service,
-                              handoff->request_id, handoff->object,       handoff->request_bytes,
-                              handoff->is_head,    handoff->at_most_once, true};
+    outgoing_request outgoing{*placement,
+                              handoff->route,
+                              handoff->service,
+                              handoff->request_id,
+                              handoff->fingerprint,
+                              handoff->object,
+                              handoff->request_bytes,
+                              handoff->is_head,
+                              handoff->at_most_once,
+                              true};
     out.result = co_await this->send_directly(control, std::move(outgoing));
     --this->in_flight;
     if (out.result.outcome == send_outcome::withheld) {
--- a/bth/gateway/handoff.cpp
+++ b/bth/gateway/handoff.cpp
@@ -36,6 +36,7 @@
     out.route = from.route;
     out.service = from.service;
     out.request_id = from.request_id;
+    out.fingerprint = from.fingerprint.value();
     out.object = from.object;
     out.bytes = to_bytes(from.request_bytes);
     out.to_head = from.is_head;
@@ -56,6 +57,7 @@
     out.route = from.route;
     out.service = from.service;
     out.request_id = from.request_id;
+    out.fingerprint = dispatch::request_fingerprint{from.fingerprint};
     out.object = from.object;
     out.request_bytes = to_text(from.bytes);
     out.is_head = from.to_head;
@@ -78,6 +80,7 @@
     out.declined = static_cast<std::uint8_t>(from.declined);
     out.may_have_run = from.result.may_have_run;
     out.arrived = from.result.may_have_arrived;
+    out.target_refuses = from.result.target_refuses;
     out.known = from.object_sent_recently;
     out.took_ms = static_cast<float>(from.took.count());
     out.wait_ms = static_cast<float>(from.expected_wait.count());
@@ -117,6 +120,7 @@
     out.result.outcome = static_cast<dispatch::send_outcome>(from.outcome);
     out.result.may_have_run = from.may_have_run;
     out.result.may_have_arrived = from.arrived;
+    out.result.target_refuses = from.target_refuses;
     out.object_sent_recently = from.known;
     out.took = fractional_ms{from.took_ms};
     out.expected_wait = fractional_ms{from.wait_ms};
--- a/bth/gateway/handoff.h
+++ b/bth/gateway/handoff.h
@@ -7,6 +7,7 @@
 
 #include "bth/base/time.h"
 #include "bth/dispatch/placement.h"
+#include "bth/dispatch/request_fingerprint.h"
 #include "bth/gateway/caller_response.h"
 #include "bth/gateway/target_send.h"
 
@@ -27,6 +28,7 @@
     std::string route;
     std::string service;
     std::string request_id;
+    dispatch::request_fingerprint fingerprint;
     dispatch::object_key object{};
     // The complete HTTP request to send to the target.
     std::string request_bytes;
--- a/bth/gateway/handoff_test.cpp
+++ b/bth/gateway/handoff_test.cpp
@@ -25,9 +25,11 @@
 TEST(handoff, request_survives_a_round_trip)
 {
     const std::string binary{"GET / HTTP/1.1\r\n\r\n\0\xff", 20};
-    const auto decoded = encode_and_decode(
-        handoff_request{7, "t", "route", "orders", "id", 8, binary, true, true, 800ms, 250ms, 2});
+    const auto decoded = encode_and_decode(handoff_request{7, "t", "route", "orders", "id",
+                                                           bth::dispatch::request_fingerprint{9}, 8,
+                                                           binary, true, true, 800ms, 250ms, 2});
     LONGS_EQUAL(7, decoded.id);
+    LONGS_EQUAL(9, decoded.fingerprint.value());
     STRCMP_EQUAL("t", decoded.target.c_str());
     CHECK(decoded.request_bytes == binary);
     CHECK_TRUE(decoded.is_head && decoded.at_most_once);
@@ -47,6 +49,14 @@
     CHECK(encode_and_decode(sent).result.signals.rest == 2500ms);
 }
 
+TEST(handoff, whether_a_target_refuses_connections_survives_a_round_trip)
+{
+    handoff_outcome sent;
+    CHECK_FALSE(encode_and_decode(sent).result.target_refuses);
+    sent.result.target_refuses = true;
+    CHECK_TRUE(encode_and_decode(sent).result.target_refuses);
+}
+
 TEST(handoff, what_hosts_know_of_a_shared_out_target_survives_a_round_trip)
 {
     handoff_request request;
--- a/bth/gateway/internal/handoff_generated.h
+++ b/bth/gateway/internal/handoff_generated.h
@@ -200,6 +200,7 @@
   uint32_t priority = 0;
   uint32_t cold_ms = 0;
   double limit_per_s = 0.0;
+  uint64_t fingerprint = 0;
 };
 
 struct Order FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -219,7 +220,8 @@
     VT_OBJECTIVE_LEFT_MS = 24,
     VT_PRIORITY = 26,
     VT_COLD_MS = 28,
-    VT_LIMIT_PER_S = 30
+    VT_LIMIT_PER_S = 30,
+    VT_FINGERPRINT = 32
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -263,6 +265,9 @@
   double limit_per_s() const {
     return GetField<double>(VT_LIMIT_PER_S, 0.0);
   }
+  uint64_t fingerprint() const {
+    return GetField<uint64_t>(VT_FINGERPRINT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -284,6 +289,7 @@
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint32_t>(verifier, VT_COLD_MS, 4) &&
            VerifyField<double>(verifier, VT_LIMIT_PER_S, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
            verifier.EndTable();
   }
   OrderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -337,6 +343,9 @@
   void add_limit_per_s(double limit_per_s) {
     fbb_.AddElement<double>(Order::VT_LIMIT_PER_S, limit_per_s, 0.0);
   }
+  void add_fingerprint(uint64_t fingerprint) {
+    fbb_.AddElement<uint64_t>(Order::VT_FINGERPRINT, fingerprint, 0);
+  }
   explicit OrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -363,8 +372,10 @@
     uint32_t objective_left_ms = 0,
     uint32_t priority = 0,
     uint32_t cold_ms = 0,
-    double limit_per_s = 0.0) {
+    double limit_per_s = 0.0,
+    uint64_t fingerprint = 0) {
   OrderBuilder builder_(_fbb);
+  builder_.add_fingerprint(fingerprint);
   builder_.add_limit_per_s(limit_per_s);
   builder_.add_object(object);
   builder_.add_id(id);
@@ -397,7 +408,8 @@
     uint32_t objective_left_ms = 0,
     uint32_t priority = 0,
     uint32_t cold_ms = 0,
-    double limit_per_s = 0.0) {
+    double limit_per_s = 0.0,
+    uint64_t fingerprint = 0) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -418,7 +430,8 @@
       objective_left_ms,
       priority,
       cold_ms,
-      limit_per_s);
+      limit_per_s,
+      fingerprint);
 }
 
 flatbuffers::Offset<Order> CreateOrder(flatbuffers::FlatBufferBuilder &_fbb, const OrderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -446,6 +459,7 @@
   bool has_limit = false;
   double limit_per_s = 0.0;
   bool has_no_limit = false;
+  bool target_refuses = false;
 };
 
 struct Outcome FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -472,7 +486,8 @@
     VT_REST_MS = 38,
     VT_HAS_LIMIT = 40,
     VT_LIMIT_PER_S = 42,
-    VT_HAS_NO_LIMIT = 44
+    VT_HAS_NO_LIMIT = 44,
+    VT_TARGET_REFUSES = 46
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -537,6 +552,9 @@
   bool has_no_limit() const {
     return GetField<uint8_t>(VT_HAS_NO_LIMIT, 0) != 0;
   }
+  bool target_refuses() const {
+    return GetField<uint8_t>(VT_TARGET_REFUSES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -563,6 +581,7 @@
            VerifyField<uint8_t>(verifier, VT_HAS_LIMIT, 1) &&
            VerifyField<double>(verifier, VT_LIMIT_PER_S, 8) &&
            VerifyField<uint8_t>(verifier, VT_HAS_NO_LIMIT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_TARGET_REFUSES, 1) &&
            verifier.EndTable();
   }
   OutcomeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -637,6 +656,9 @@
   void add_has_no_limit(bool has_no_limit) {
     fbb_.AddElement<uint8_t>(Outcome::VT_HAS_NO_LIMIT, static_cast<uint8_t>(has_no_limit), 0);
   }
+  void add_target_refuses(bool target_refuses) {
+    fbb_.AddElement<uint8_t>(Outcome::VT_TARGET_REFUSES, static_cast<uint8_t>(target_refuses), 0);
+  }
   explicit OutcomeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -670,7 +692,8 @@
     uint32_t rest_ms = 0,
     bool has_limit = false,
     double limit_per_s = 0.0,
-    bool has_no_limit = false) {
+    bool has_no_limit = false,
+    bool target_refuses = false) {
   OutcomeBuilder builder_(_fbb);
   builder_.add_limit_per_s(limit_per_s);
   builder_.add_id(id);
@@ -683,6 +706,7 @@
   builder_.add_wait_ms(wait_ms);
   builder_.add_took_ms(took_ms);
   builder_.add_status(status);
+  builder_.add_target_refuses(target_refuses);
   builder_.add_has_no_limit(has_no_limit);
   builder_.add_has_limit(has_limit);
   builder_.add_has_rest(has_rest);
@@ -718,7 +742,8 @@
     uint32_t rest_ms = 0,
     bool has_limit = false,
     double limit_per_s = 0.0,
-    bool has_no_limit = false) {
+    bool has_no_limit = false,
+    bool target_refuses = false) {
   auto fields__ = fields ? _fbb.CreateString(fields) : 0;
   auto bodyless_length__ = bodyless_length ? _fbb.CreateString(bodyless_length) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -744,7 +769,8 @@
       rest_ms,
       has_limit,
       limit_per_s,
-      has_no_limit);
+      has_no_limit,
+      target_refuses);
 }
 
 flatbuffers::Offset<Outcome> CreateOutcome(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -968,6 +994,7 @@
   { auto _e = priority(); _o->priority = _e; }
   { auto _e = cold_ms(); _o->cold_ms = _e; }
   { auto _e = limit_per_s(); _o->limit_per_s = _e; }
+  { auto _e = fingerprint(); _o->fingerprint = _e; }
 }
 
 inline flatbuffers::Offset<Order> Order::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -992,6 +1019,7 @@
   auto _priority = _o->priority;
   auto _cold_ms = _o->cold_ms;
   auto _limit_per_s = _o->limit_per_s;
+  auto _fingerprint = _o->fingerprint;
   return bth::gateway::frames::CreateOrder(
       _fbb,
       _id,
@@ -1007,7 +1035,8 @@
       _objective_left_ms,
       _priority,
       _cold_ms,
-      _limit_per_s);
+      _limit_per_s,
+      _fingerprint);
 }
 
 inline OutcomeT *Outcome::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1040,6 +1069,7 @@
   { auto _e = has_limit(); _o->has_limit = _e; }
   { auto _e = limit_per_s(); _o->limit_per_s = _e; }
   { auto _e = has_no_limit(); _o->has_no_limit = _e; }
+  { auto _e = target_refuses(); _o->target_refuses = _e; }
 }
 
 inline flatbuffers::Offset<Outcome> Outcome::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1071,6 +1101,7 @@
   auto _has_limit = _o->has_limit;
   auto _limit_per_s = _o->limit_per_s;
   auto _has_no_limit = _o->has_no_limit;
+  auto _target_refuses = _o->target_refuses;
   return bth::gateway::frames::CreateOutcome(
       _fbb,
       _id,
@@ -1093,7 +1124,8 @@
       _rest_ms,
       _has_limit,
       _limit_per_s,
-      _has_no_limit);
+      _has_no_limit,
+      _target_refuses);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -78,10 +78,19 @@
     return seconds ? duration{std::chrono::seconds{*seconds}} : duration{default_idle_timeout};
 }
 
-// Connects and returns whether that succeeded. Aborts the attempt through `control` after
-// `timeout`.
-asio::awaitable<bool> connect(target_connection& connection, std::shared_ptr<send_control> control,
-                              endpoint address, duration timeout)
+// Lets `control` end what is done on the connection.
+void set_close_handler(send_control& control, target_connection& connection)
+{
+    control.close = [socket = &connection.socket] {
+        boost::system::error_code ignored;
+        socket->close(ignored);
+    };
+}
+
+// Connects. Aborts the attempt through `control` after `timeout`.
+asio::awaitable<boost::system::error_code> connect(target_connection& connection,
+                                                   std::shared_ptr<send_control> control,
+                                                   endpoint address, duration timeout)
 {
     asio::steady_timer timer{co_await asio::this_coro::executor, timeout};
     timer.async_wait([control](const boost::system::error_code& error) {
@@ -93,11 +102,14 @@
     co_await connection.socket.async_connect(shell::to_asio(address),
                                              asio::redirect_error(asio::use_awaitable, error));
     timer.cancel();
-    if (error || !connection.socket.is_open()) {
-        co_return false;
+    if (!error && !connection.socket.is_open()) {
+        error = asio::error::operation_aborted;
     }
-    connection.socket.set_option(asio::ip::tcp::no_delay{true}, error);
-    co_return true;
+    if (!error) {
+        boost::system::error_code ignored;
+        connection.socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    }
+    co_return error;
 }
 
 // Returns whether a response belongs to the request. A refusal to run the request may lack the
@@ -249,26 +261,20 @@
                                             std::shared_ptr<send_control> control,
                                             target_request request)
 {
-    const auto set_close_handler = [&control](target_connection& connection) {
-        control->close = [socket = &connection.socket] {
-            boost::system::error_code ignored;
-            socket->close(ignored);
-        };
-    };
     std::optional<duration> connect_time;
     auto connection =
         pool.acquire(request.target_id, shell::monotonic_now(), request.max_idle_time);
     if (!connection) {
         connection = std::make_unique<target_connection>(co_await asio::this_coro::executor);
-        set_close_handler(*connection);
+        set_close_handler(*control, *connection);
         const auto started_at = shell::monotonic_now();
-        const bool connected =
+        const auto connect_error =
             co_await connect(*connection, control, request.address, request.connect_timeout);
         control->close = nullptr;
         const duration took = shell::monotonic_now() - started_at;
-        if (!connected || control->aborted()) {
+        if (connect_error || control->aborted()) {
             auto result = unanswered_result(*control, false);
-            result.connect_timed_out = !connected && took >= request.connect_timeout;
+            result.connect_timed_out = connect_error && took >= request.connect_timeout;
             co_return result;
         }
         connect_time = took;
@@ -285,7 +291,7 @@
         result.connect_time = connect_time;
         co_return result;
     }
-    set_close_handler(*connection);
+    set_close_handler(*control, *connection);
     boost::system::error_code error;
     co_await asio::async_write(connection->socket, asio::buffer(request.request_bytes),
                                asio::redirect_error(asio::use_awaitable, error));
@@ -313,4 +319,24 @@
     co_return result;
 }
 
+asio::awaitable<target_reachability> probe_target(target_connection_pool& pool,
+                                                  std::string target_id, endpoint address,
+                                                  duration timeout)
+{
+    auto connection = std::make_unique<target_connection>(co_await asio::this_coro::executor);
+    const auto control = std::make_shared<send_control>();
+    set_close_handler(*control, *connection);
+    const auto error = co_await connect(*connection, control, address, timeout);
+    control->close = nullptr;
+    if (error == asio::error::connection_refused) {
+        co_return target_reachability::refuses;
+    }
+    if (error) {
+        co_return target_reachability::unknown;
+    }
+    connection->idle_timeout = default_idle_timeout;
+    pool.release(target_id, std::move(connection), shell::monotonic_now());
+    co_return target_reachability::accepts;
+}
+
 } // namespace bth::gateway
--- a/bth/gateway/target_send.h
+++ b/bth/gateway/target_send.h
@@ -74,6 +74,15 @@
     target_signals signals{};
     // Whether the response was given up because it is too long, or all that are being read are.
     bool is_too_long{};
+    // Whether the target refused a new connection right after it had broken this one off.
+    bool target_refuses{};
+};
+
+// What a target does with a new connection.
+enum class target_reachability : std::uint8_t {
+    accepts,
+    refuses, // No process listens there.
+    unknown, // No answer came in time, or the host can't connect.
 };
 
 // Returns the result of an attempt that ended without a response. `may_have_been_sent`: a byte of
@@ -85,4 +94,9 @@
                                                    std::shared_ptr<send_control> control,
                                                    target_request request);
 
+// Opens a connection to a target and sends nothing. A connection that is accepted goes to the pool.
+boost::asio::awaitable<target_reachability> probe_target(target_connection_pool& pool,
+                                                         std::string target_id, endpoint address,
+                                                         duration timeout);
+
 } // namespace bth::gateway
