--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -4,10 +4,12 @@
     platform = TargetList(endpoint, [target])
 """
 import bisect
+import contextlib
 import dataclasses
 import http.server
 import json
 import math
+import socket
 import threading
 import time
 import urllib.parse
@@ -35,10 +37,49 @@
         self.wfile.write(body)
 
 
+class Server(http.server.ThreadingHTTPServer):
+    """Knows its open connections, so that it can end like a process that crashes."""
+
+    daemon_threads = True
+
+    def __init__(self, *arguments):
+        self.open, self.lock = set(), threading.Lock()
+        super().__init__(*arguments)
+
+    def process_request(self, request, client_address):
+        with self.lock:
+            self.open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        with self.lock:
+            self.open.discard(request)
+        super().shutdown_request(request)
+
+    def crash(self):
+        """Ends all connections; new ones are refused from now on."""
+        self.end(self.socket)
+        self.end_connections()
+        self.shutdown()
+        self.server_close()
+        # Those that were accepted meanwhile.
+        self.end_connections()
+
+    def end_connections(self):
+        with self.lock:
+            ended = list(self.open)
+        for each in ended:
+            self.end(each)
+
+    @staticmethod
+    def end(ended):
+        with contextlib.suppress(OSError):
+            ended.shutdown(socket.SHUT_RDWR)
+
+
 def serve(endpoint, handler):
     host, port = endpoint.rsplit(":", 1)
-    server = http.server.ThreadingHTTPServer((host, int(port)), handler)
-    server.daemon_threads = True
+    server = Server((host, int(port)), handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
 
@@ -55,6 +96,7 @@
     peer: tuple
     # What `Target.sender_of` says about the peer.
     sender: str
+    path: str = ""
     ran: bool = False
     # Whether another target was expected, which isn't counted as an arrival.
     misdirected: bool = False
@@ -73,6 +115,9 @@
 
     # Until when the list shows it as cold.
     cold_until = 0
+    # A request with this in its path crashes the target when it has run for `seconds`; it is back after DOWN_S.
+    CRASHING = "crash-me"
+    DOWN_S = 1.0
 
     def __init__(self, name, service, domain, endpoint):
         self.name, self.service, self.domain, self.endpoint = name, service, domain, endpoint
@@ -88,6 +133,9 @@
         self.sender_of = lambda peer: None
         self.lock = threading.Lock()
         self.reached = []
+        # When it crashed.
+        self.crashes = []
+        self.is_down = False
         target = self
 
         class Handler(Quiet):
@@ -96,12 +144,29 @@
 
             do_POST = do_GET
 
+        self.handler = Handler
         self.server = serve(endpoint, Handler)
 
+    def crash(self):
+        """Ends with all that runs here. Another target starts on the address after DOWN_S."""
+        with self.lock:
+            if self.is_down:
+                return
+            self.is_down = True
+            self.crashes.append(time.monotonic())
+        self.server.crash()
+        threading.Thread(target=self.restart, daemon=True).start()
+
+    def restart(self):
+        time.sleep(self.DOWN_S)
+        self.start_again(f"{self.name}'", 0)
+        self.server = serve(self.endpoint, self.handler)
+        self.is_down = False
+
     def take(self, request):
         body = request.rfile.read(int(request.headers.get("Content-Length", 0)))
         arrival = Arrival(time.monotonic(), request.headers[REQUEST_ID], self.name, request.client_address,
-                          self.sender_of(request.client_address))
+                          self.sender_of(request.client_address), request.path)
         with self.lock:
             self.reached.append(arrival)
         try:
@@ -129,6 +194,10 @@
         with self.lock:
             self.runs[number] = self.runs.get(number, 0) + 1
         time.sleep(self.seconds)
+        if self.CRASHING in request.path:
+            request.close_connection = True
+            self.crash()
+            return
         if self.mode == "cut":
             request.close_connection = True
             request.connection.close()
@@ -161,6 +230,8 @@
         self.name = name
 
     def close(self):
+        while self.is_down:
+            time.sleep(0.01)
         self.server.shutdown()
         self.server.server_close()
 
