--- a/bth/base/reason.h
+++ b/bth/base/reason.h
@@ -32,8 +32,9 @@
     already_run,          // A resend whose first run goes on, or whose outcome is gone.
     drained,              // The failure domain or region is leaving.
     ownership,            // The targets are changing hands between entry hosts.
+    crashes_targets,      // The request crashed the targets that ran it.
 };
-inline constexpr std::size_t refusal_reason_count = 21;
+inline constexpr std::size_t refusal_reason_count = 22;
 
 // Why a request was tried again elsewhere.
 enum class retry_reason : std::uint8_t {
--- a/bth/dispatch/sender_roster.cpp
+++ b/bth/dispatch/sender_roster.cpp
@@ -45,8 +45,7 @@
 
 bool sender_roster::has_settled(time_point now) const
 {
-    return this->had_contact && now - this->last_contact_at <= contact_validity &&
-           now >= this->settled_from;
+    return this->is_in_contact(now) && now >= this->settled_from;
 }
 
 std::vector<std::string_view> sender_roster::senders_of(time_point now, const target_info& target,
--- a/bth/dispatch/sender_roster.h
+++ b/bth/dispatch/sender_roster.h
@@ -51,6 +51,12 @@
     // Records word of a control host that is in contact with the others.
     void record_contact(time_point now);
 
+    // Returns whether a control host in contact with the others has been heard lately.
+    bool is_in_contact(time_point now) const
+    {
+        return this->had_contact && now - this->last_contact_at <= contact_validity;
+    }
+
     // Returns the names of the senders of a target, at most `count`: hosts of the target's failure
     // domain before others (rendezvous hashing, Thaler and Ravishankar 1998).
     std::vector<std::string_view> senders_of(time_point now, const target_info& target,
--- a/bth/fleet/attachment_table.cpp
+++ b/bth/fleet/attachment_table.cpp
@@ -20,6 +20,9 @@
 // An entry host that knows a control host of its own failure domain moves to it with its next
 // selection, within 100 ms. One that is still attached after this time couldn't reach it.
 constexpr std::chrono::milliseconds redirect_time{1000};
+// Smallest time between two updates with news on crashes. With 64 reports of 32 bytes each and 14
+// recipients, that is a tenth of a link of 10 Mbit/s at most.
+constexpr std::chrono::milliseconds crash_news_interval{200};
 
 } // namespace
 
@@ -101,6 +104,13 @@
     }
 }
 
+bool attachment_table::has_due_crash_news(time_point now, const row& recipient,
+                                          const control_view& view)
+{
+    return view.crashes != nullptr && view.crashes->has_news_since(recipient.sent_crashes) &&
+           now - recipient.sent_crashes_at >= crash_news_interval;
+}
+
 bool attachment_table::is_to_be_redirected(time_point now, const row& recipient,
                                            const control_view& view) const
 {
@@ -185,8 +195,9 @@
     const auto list = this->lists.find(this->region_of(recipient.host.domain));
     const bool include_list =
         !redirect && list != this->lists.end() && list->second.version != recipient.sent_list;
+    const bool has_crash_news = !redirect && has_due_crash_news(now, recipient, view);
     const bool has_changes = include_list || include_state || held.targets != revision ||
-                             view.in_contact != recipient.sent_in_contact;
+                             has_crash_news || view.in_contact != recipient.sent_in_contact;
     if (!has_changes && now - recipient.last_sent_at < update_interval) {
         return std::nullopt;
     }
@@ -221,6 +232,11 @@
         std::lower_bound(hosts.begin(), hosts.end(), recipient.host.name,
                          [](const auto& each, const auto& name) { return each.name < name; });
     own.entry_rank = static_cast<std::uint32_t>(own_place - hosts.begin());
+    if (has_crash_news) {
+        own.crashes =
+            view.crashes->news_since(now, recipient.sent_crashes, dispatch::news_scope::all);
+        recipient.sent_crashes_at = now;
+    }
     recipient.last_sent_at = now;
     if (!redirect) {
         recipient.held.record_sent(
--- a/bth/fleet/attachment_table.h
+++ b/bth/fleet/attachment_table.h
@@ -52,6 +52,8 @@
     std::set<std::string> connected_control_hosts;
     // All entry hosts in service, ordered by name.
     std::vector<entry_host> entry_hosts;
+    // Null if there is nothing to tell.
+    const dispatch::crash_ledger* crashes{};
 };
 
 // An update that is due for an entry host, as for encode_parts().
@@ -113,6 +115,9 @@
         bool sent_in_contact{};
         // The version of the region's list that was sent last, 0 if it has to be sent again.
         std::uint64_t sent_list{};
+        // The place in the ledger of crashes up to which news were sent, and when.
+        std::uint64_t sent_crashes{};
+        time_point sent_crashes_at;
     };
     // The entry hosts of a region as they are sent to all of them.
     struct neighbour_list {
@@ -140,6 +145,8 @@
     // Makes the lists of the regions that changed anew, where their interval allows it.
     void refresh_lists(time_point now, const std::vector<entry_host>& all_hosts);
     std::optional<due_update> make_update(time_point now, row& recipient, const control_view& view);
+    // Whether news on crashes should be sent now.
+    static bool has_due_crash_news(time_point now, const row& recipient, const control_view& view);
     // Whether the recipient should move to another control host before it gets any data.
     bool is_to_be_redirected(time_point now, const row& recipient, const control_view& view) const;
 
--- a/bth/fleet/attachment_table_test.cpp
+++ b/bth/fleet/attachment_table_test.cpp
@@ -39,6 +39,7 @@
     std::set<std::string> connected{"c2", "c3"};
     bool follows_group{true};
     bool caught_up{true};
+    bth::dispatch::crash_ledger crashes;
 
     fixture()
     {
@@ -57,7 +58,8 @@
                 &this->catalog,
                 {{"c1", "n1"}, {"c2", "n2"}, {"c3", "s1"}},
                 this->connected,
-                this->in_service};
+                this->in_service,
+                &this->crashes};
     }
     // The update that an entry host would receive now.
     std::optional<update> update_of(time_point now, const std::string& name)
@@ -272,3 +274,23 @@
     LONGS_EQUAL(1, at.attached.hosts(start + 1501ms).size());
     CHECK_TRUE(at.report_of(start + 2s, host(1, "n1", true)).is_new);
 }
+
+TEST(attachment_table, news_on_crashes_are_sent_soon_and_once)
+{
+    fixture at;
+    const auto entry = host(1, "n1", true);
+    at.full_report_of(start, entry);
+    at.update_of(start, entry.name);
+    const bth::dispatch::crash_report crash{bth::dispatch::request_fingerprint{1},
+                                            bth::dispatch::target_key{2},
+                                            bth::dispatch::service_key{3}, 10ms};
+    at.crashes.record_crash(start, crash, bth::dispatch::news_source::relayed);
+    const auto update = at.update_of(start + 10ms, entry.name);
+    CHECK_TRUE(update.has_value() && update->crashes.crashes.size() == 1);
+    CHECK(update->crashes.crashes.front().age == 20ms);
+    CHECK_FALSE(at.update_of(start + 300ms, entry.name).has_value());
+    // Another process under that name knows nothing.
+    at.attached.detach(entry.name);
+    at.full_report_of(start + 400ms, entry);
+    LONGS_EQUAL(1, at.update_of(start + 400ms, entry.name)->crashes.crashes.size());
+}
--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -243,6 +243,9 @@
     const auto now = shell::monotonic_now();
     this->lag.record(now, this->group->machine().state().index, received.index);
     const auto result = this->attached.record_report(now, from.name, received, this->link->life());
+    if (this->crashes.merge(now, received.crashes, dispatch::news_source::observed)) {
+        this->relays.request();
+    }
     if (result.is_behind) {
         this->events->write(shell::event{"entry_host_behind"}
                                 .with("host", from.name)
@@ -271,6 +274,7 @@
     this->control_domains[from.name] = received.host.domain;
     this->lag.record(now, this->group->machine().state().index, received.index);
     this->registry.record_hosts(from.name, received.entry_hosts, now);
+    this->crashes.merge(now, received.crashes, dispatch::news_source::relayed);
     const auto read_at = now - received.list_age;
     const bool list_changed =
         received.list && this->catalog.record_reading(*received.list, read_at);
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -161,6 +161,7 @@
     void send_due_relays(time_point now);
     // Sends a relay to all control hosts, or to one of them.
     void send_relay(time_point now, bool include_list, const std::optional<std::string>& only_to);
+    void send_all_crashes(time_point now, const std::string& to, relay first);
     // Sends the updates that are due to all attached entry hosts, or to one of them.
     void send_updates(time_point now);
     void send_update(const due_update& due);
@@ -201,6 +202,10 @@
     bool reported_behind{};
     std::optional<std::string> reported_group_failure;
     relay_schedule relays;
+    // The crashes that entry hosts and other control hosts report.
+    dispatch::crash_ledger crashes;
+    // The place in the ledger up to which news were relayed.
+    std::uint64_t relayed_crashes{};
     bool list_read_in_flight{};
     // The number of calls of the last reading of the list here, 0 if there was none.
     std::size_t calls_of_last_reading{};
--- a/bth/fleet/control_host_updates.cpp
+++ b/bth/fleet/control_host_updates.cpp
@@ -26,8 +26,13 @@
 void control_host::send_relay(time_point now, bool include_list,
                               const std::optional<std::string>& only_to)
 {
-    relay out{{this->name, this->settings.domain}, this->attached.hosts(now), {}, 0, std::nullopt,
-              this->group->machine().state().index};
+    relay out{{this->name, this->settings.domain},
+              this->attached.hosts(now),
+              {},
+              0,
+              std::nullopt,
+              this->group->machine().state().index,
+              {}};
     if (this->catalog.was_read()) {
         out.list_age = now - this->catalog.read_at();
         out.list_digest = this->catalog.digest();
@@ -35,17 +40,35 @@
             out.list = this->catalog.rows();
         }
     }
-    const auto bytes = encode(out);
     if (only_to) {
-        this->link->send(*only_to, wire::frame_kind::membership, as_bytes(bytes));
+        this->send_all_crashes(now, *only_to, std::move(out));
         return;
     }
+    out.crashes =
+        this->crashes.news_since(now, this->relayed_crashes, dispatch::news_scope::observed);
+    const auto bytes = encode(out);
     this->relays.record_sent(now);
+    if (this->crashes.has_news_since(this->relayed_crashes)) {
+        this->relays.request();
+    }
     for (const auto& each : this->peer_names) {
         this->link->send(each, wire::frame_kind::membership, as_bytes(bytes));
     }
 }
 
+// Sends a relay to a control host that has just connected, followed by as many as it takes to tell
+// it all crashes that are known.
+void control_host::send_all_crashes(time_point now, const std::string& to, relay first)
+{
+    std::uint64_t cursor = 0;
+    do {
+        first.crashes = this->crashes.news_since(now, cursor, dispatch::news_scope::all);
+        const auto bytes = encode(first);
+        this->link->send(to, wire::frame_kind::membership, as_bytes(bytes));
+        first.list.reset();
+    } while (this->crashes.has_news_since(cursor));
+}
+
 bool control_host::in_contact(time_point now) const
 {
     // An older reading means that neither this host nor any control host that sends it relays can
@@ -74,7 +97,8 @@
                       &this->catalog,
                       {},
                       {},
-                      this->registry.in_service(now)};
+                      this->registry.in_service(now),
+                      &this->crashes};
     for (const auto& [control_name, domain] : this->control_domains) {
         if (control_name == this->name || this->peer_names.contains(control_name)) {
             view.control_hosts.push_back({control_name, domain});
--- a/bth/fleet/entry_agent.cpp
+++ b/bth/fleet/entry_agent.cpp
@@ -12,6 +12,8 @@
 
 // As often as updates arrive. A control host expires an entry host after three missing reports.
 constexpr std::chrono::milliseconds report_interval{400};
+// Smallest time between a report and one that a crash causes; later crashes wait for the next tick.
+constexpr std::chrono::milliseconds crash_report_interval{50};
 // A tenth of the time after which a silent control host is replaced.
 constexpr std::chrono::milliseconds selection_interval{100};
 
@@ -123,7 +125,7 @@
     if (this->selector.reselect(now)) {
         this->on_control_host_selected(now, previous);
     }
-    if (now - this->last_report_at >= report_interval) {
+    if (now - this->last_report_at >= report_interval || this->is_crash_report_due) {
         this->send_report();
     }
     this->connect_peers();
@@ -171,16 +173,54 @@
 void entry_agent::send_report()
 {
     this->last_report_at = shell::monotonic_now();
-    const report out{
-        {this->name, this->settings.caller_endpoint, this->settings.domain, this->ready, {}},
-        this->held_version,
-        this->held_index,
-        this->held_targets,
-        this->control_incarnation,
-        this->selector.stays()};
+    this->is_crash_report_due = false;
+    report out{{this->name, this->settings.caller_endpoint, this->settings.domain, this->ready, {}},
+               this->held_version,
+               this->held_index,
+               this->held_targets,
+               this->control_incarnation,
+               this->selector.stays(),
+               {}};
+    const auto reported_up_to = this->add_crash_news(out);
     const auto bytes = encode(out);
-    this->link->send(this->selector.current(), wire::frame_kind::membership,
-                     {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
+    const bool is_sent =
+        this->link->send(this->selector.current(), wire::frame_kind::membership,
+                         {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
+    if (is_sent) {
+        this->reported_crashes = reported_up_to;
+    }
+}
+
+std::uint64_t entry_agent::add_crash_news(report& out)
+{
+    if (!this->crashes) {
+        return 0;
+    }
+    // Another control host, or one that has started again, may not know what was relayed before.
+    const bool is_same_host = this->reported_crashes_to == this->selector.current() &&
+                              this->reported_crashes_incarnation == this->control_incarnation;
+    if (!is_same_host) {
+        this->reported_crashes_to = this->selector.current();
+        this->reported_crashes_incarnation = this->control_incarnation;
+        this->reported_crashes = 0;
+        this->reports_all_crashes = true;
+    }
+    auto cursor = this->reported_crashes;
+    out.crashes = this->crashes->news_since(
+        shell::monotonic_now(), cursor,
+        this->reports_all_crashes ? dispatch::news_scope::all : dispatch::news_scope::observed);
+    this->reports_all_crashes = this->reports_all_crashes && this->crashes->has_news_since(cursor);
+    return cursor;
+}
+
+void entry_agent::report_crash()
+{
+    if (shell::monotonic_now() - this->last_report_at >= crash_report_interval) {
+        this->send_report();
+    }
+    else {
+        this->is_crash_report_due = true;
+    }
 }
 
 } // namespace bth::fleet
--- a/bth/fleet/entry_agent.h
+++ b/bth/fleet/entry_agent.h
@@ -6,6 +6,7 @@
 //   agent->set_ready(true);
 #pragma once
 
+#include "bth/dispatch/crash_ledger.h"
 #include "bth/dispatch/target_registry.h"
 #include "bth/fleet/control_host_selector.h"
 #include "bth/fleet/messages.h"
@@ -54,6 +55,14 @@
 
     // Sets whether callers should be directed to this host.
     void set_ready(bool ready);
+    // Sets the ledger whose news on crashes this host reports.
+    void set_crash_ledger(std::shared_ptr<const dispatch::crash_ledger> ledger)
+    {
+        this->crashes = std::move(ledger);
+    }
+    // Reports a crash without waiting for the next report that is due.
+    void report_crash();
+
     // Sets the versions that this host holds, so that they aren't sent again.
     void set_held_versions(route::config_version configuration, agreed_index agreed);
 
@@ -61,6 +70,8 @@
     bool receive(const shell::peer_identity& from, wire::byte_view payload);
     void tick();
     void send_report();
+    // Adds the news on crashes to a report. Returns the place in the ledger behind them.
+    std::uint64_t add_crash_news(report& out);
     void on_control_host_selected(time_point now, const std::string& previous);
     void connect_peers();
 
@@ -80,6 +91,14 @@
     catalog_revision held_targets;
     // The incarnation of the control host for which `held_targets` is valid.
     incarnation control_incarnation;
+    std::shared_ptr<const dispatch::crash_ledger> crashes;
+    // The place in the ledger up to which news were reported, and to whom.
+    std::uint64_t reported_crashes{};
+    std::string reported_crashes_to;
+    // Whether the news that other control hosts relayed are reported as well.
+    bool reports_all_crashes{};
+    bool is_crash_report_due{};
+    incarnation reported_crashes_incarnation;
     bool stopping{};
 };
 
--- a/bth/fleet/internal/fleet_generated.h
+++ b/bth/fleet/internal/fleet_generated.h
@@ -30,6 +30,10 @@
 struct ControlHostBuilder;
 struct ControlHostT;
 
+struct Crash;
+
+struct Completion;
+
 struct Report;
 struct ReportBuilder;
 struct ReportT;
@@ -252,6 +256,64 @@
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Crash FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t request_;
+  uint64_t target_;
+  uint64_t service_;
+  uint64_t age_ms_;
+
+ public:
+  Crash()
+      : request_(0),
+        target_(0),
+        service_(0),
+        age_ms_(0) {
+  }
+  Crash(uint64_t _request, uint64_t _target, uint64_t _service, uint64_t _age_ms)
+      : request_(flatbuffers::EndianScalar(_request)),
+        target_(flatbuffers::EndianScalar(_target)),
+        service_(flatbuffers::EndianScalar(_service)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t request() const {
+    return flatbuffers::EndianScalar(request_);
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  uint64_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Crash, 32);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Completion FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t request_;
+  uint64_t age_ms_;
+
+ public:
+  Completion()
+      : request_(0),
+        age_ms_(0) {
+  }
+  Completion(uint64_t _request, uint64_t _age_ms)
+      : request_(flatbuffers::EndianScalar(_request)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t request() const {
+    return flatbuffers::EndianScalar(request_);
+  }
+  uint64_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Completion, 16);
+
 struct TargetT : public flatbuffers::NativeTable {
   typedef Target TableType;
   std::string id{};
@@ -623,6 +685,8 @@
   uint64_t targets_revision = 0;
   uint64_t serving_life = 0;
   bool stays = false;
+  std::vector<bth::fleet::frames::Crash> crashes{};
+  std::vector<bth::fleet::frames::Completion> completions{};
   ReportT() = default;
   ReportT(const ReportT &o);
   ReportT(ReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -638,7 +702,9 @@
     VT_AGREED_INDEX = 8,
     VT_TARGETS_REVISION = 10,
     VT_SERVING_LIFE = 12,
-    VT_STAYS = 14
+    VT_STAYS = 14,
+    VT_CRASHES = 16,
+    VT_COMPLETIONS = 18
   };
   const bth::fleet::frames::EntryHost *host() const {
     return GetPointer<const bth::fleet::frames::EntryHost *>(VT_HOST);
@@ -658,6 +724,12 @@
   bool stays() const {
     return GetField<uint8_t>(VT_STAYS, 0) != 0;
   }
+  const flatbuffers::Vector<const bth::fleet::frames::Crash *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const bth::fleet::frames::Crash *> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<const bth::fleet::frames::Completion *> *completions() const {
+    return GetPointer<const flatbuffers::Vector<const bth::fleet::frames::Completion *> *>(VT_COMPLETIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -667,6 +739,10 @@
            VerifyField<uint64_t>(verifier, VT_TARGETS_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_SERVING_LIFE, 8) &&
            VerifyField<uint8_t>(verifier, VT_STAYS, 1) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           VerifyOffset(verifier, VT_COMPLETIONS) &&
+           verifier.VerifyVector(completions()) &&
            verifier.EndTable();
   }
   ReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -696,6 +772,12 @@
   void add_stays(bool stays) {
     fbb_.AddElement<uint8_t>(Report::VT_STAYS, static_cast<uint8_t>(stays), 0);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Crash *>> crashes) {
+    fbb_.AddOffset(Report::VT_CRASHES, crashes);
+  }
+  void add_completions(flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Completion *>> completions) {
+    fbb_.AddOffset(Report::VT_COMPLETIONS, completions);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -714,17 +796,45 @@
     uint64_t agreed_index = 0,
     uint64_t targets_revision = 0,
     uint64_t serving_life = 0,
-    bool stays = false) {
+    bool stays = false,
+    flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Crash *>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Completion *>> completions = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_serving_life(serving_life);
   builder_.add_targets_revision(targets_revision);
   builder_.add_agreed_index(agreed_index);
   builder_.add_version(version);
+  builder_.add_completions(completions);
+  builder_.add_crashes(crashes);
   builder_.add_host(host);
   builder_.add_stays(stays);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<Report> CreateReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<bth::fleet::frames::EntryHost> host = 0,
+    uint64_t version = 0,
+    uint64_t agreed_index = 0,
+    uint64_t targets_revision = 0,
+    uint64_t serving_life = 0,
+    bool stays = false,
+    const std::vector<bth::fleet::frames::Crash> *crashes = nullptr,
+    const std::vector<bth::fleet::frames::Completion> *completions = nullptr) {
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<bth::fleet::frames::Crash>(*crashes) : 0;
+  auto completions__ = completions ? _fbb.CreateVectorOfStructs<bth::fleet::frames::Completion>(*completions) : 0;
+  return bth::fleet::frames::CreateReport(
+      _fbb,
+      host,
+      version,
+      agreed_index,
+      targets_revision,
+      serving_life,
+      stays,
+      crashes__,
+      completions__);
+}
+
 flatbuffers::Offset<Report> CreateReport(flatbuffers::FlatBufferBuilder &_fbb, const ReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct UpdateT : public flatbuffers::NativeTable {
@@ -746,6 +856,8 @@
   bool has_entry_hosts = false;
   std::vector<std::unique_ptr<bth::fleet::frames::EntryHostT>> entry_hosts{};
   bool state_is_current = false;
+  std::vector<bth::fleet::frames::Crash> crashes{};
+  std::vector<bth::fleet::frames::Completion> completions{};
   UpdateT() = default;
   UpdateT(const UpdateT &o);
   UpdateT(UpdateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -772,7 +884,9 @@
     VT_ENTRY_RANK = 30,
     VT_HAS_ENTRY_HOSTS = 32,
     VT_ENTRY_HOSTS = 34,
-    VT_STATE_IS_CURRENT = 36
+    VT_STATE_IS_CURRENT = 36,
+    VT_CRASHES = 38,
+    VT_COMPLETIONS = 40
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -825,6 +939,12 @@
   bool state_is_current() const {
     return GetField<uint8_t>(VT_STATE_IS_CURRENT, 0) != 0;
   }
+  const flatbuffers::Vector<const bth::fleet::frames::Crash *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const bth::fleet::frames::Crash *> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<const bth::fleet::frames::Completion *> *completions() const {
+    return GetPointer<const flatbuffers::Vector<const bth::fleet::frames::Completion *> *>(VT_COMPLETIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -855,6 +975,10 @@
            verifier.VerifyVector(entry_hosts()) &&
            verifier.VerifyVectorOfTables(entry_hosts()) &&
            VerifyField<uint8_t>(verifier, VT_STATE_IS_CURRENT, 1) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           VerifyOffset(verifier, VT_COMPLETIONS) &&
+           verifier.VerifyVector(completions()) &&
            verifier.EndTable();
   }
   UpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -917,6 +1041,12 @@
   void add_state_is_current(bool state_is_current) {
     fbb_.AddElement<uint8_t>(Update::VT_STATE_IS_CURRENT, static_cast<uint8_t>(state_is_current), 0);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Crash *>> crashes) {
+    fbb_.AddOffset(Update::VT_CRASHES, crashes);
+  }
+  void add_completions(flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Completion *>> completions) {
+    fbb_.AddOffset(Update::VT_COMPLETIONS, completions);
+  }
   explicit UpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -946,12 +1076,16 @@
     uint32_t entry_rank = 0,
     bool has_entry_hosts = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>>> entry_hosts = 0,
-    bool state_is_current = false) {
+    bool state_is_current = false,
+    flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Crash *>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Completion *>> completions = 0) {
   UpdateBuilder builder_(_fbb);
   builder_.add_targets_revision(targets_revision);
   builder_.add_agreed_index(agreed_index);
   builder_.add_version(version);
   builder_.add_life(life);
+  builder_.add_completions(completions);
+  builder_.add_crashes(crashes);
   builder_.add_entry_hosts(entry_hosts);
   builder_.add_entry_rank(entry_rank);
   builder_.add_entry_count(entry_count);
@@ -986,13 +1120,17 @@
     uint32_t entry_rank = 0,
     bool has_entry_hosts = false,
     const std::vector<flatbuffers::Offset<bth::fleet::frames::EntryHost>> *entry_hosts = nullptr,
-    bool state_is_current = false) {
+    bool state_is_current = false,
+    const std::vector<bth::fleet::frames::Crash> *crashes = nullptr,
+    const std::vector<bth::fleet::frames::Completion> *completions = nullptr) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto evacuated__ = evacuated ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*evacuated) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::Target>>(*targets) : 0;
   auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed) : 0;
   auto control_hosts__ = control_hosts ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::ControlHost>>(*control_hosts) : 0;
   auto entry_hosts__ = entry_hosts ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::EntryHost>>(*entry_hosts) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<bth::fleet::frames::Crash>(*crashes) : 0;
+  auto completions__ = completions ? _fbb.CreateVectorOfStructs<bth::fleet::frames::Completion>(*completions) : 0;
   return bth::fleet::frames::CreateUpdate(
       _fbb,
       life,
@@ -1011,7 +1149,9 @@
       entry_rank,
       has_entry_hosts,
       entry_hosts__,
-      state_is_current);
+      state_is_current,
+      crashes__,
+      completions__);
 }
 
 flatbuffers::Offset<Update> CreateUpdate(flatbuffers::FlatBufferBuilder &_fbb, const UpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1025,6 +1165,8 @@
   bool has_list = false;
   std::vector<std::unique_ptr<bth::fleet::frames::TargetT>> list{};
   uint64_t agreed_index = 0;
+  std::vector<bth::fleet::frames::Crash> crashes{};
+  std::vector<bth::fleet::frames::Completion> completions{};
   RelayT() = default;
   RelayT(const RelayT &o);
   RelayT(RelayT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1041,7 +1183,9 @@
     VT_LIST_DIGEST = 10,
     VT_HAS_LIST = 12,
     VT_LIST = 14,
-    VT_AGREED_INDEX = 16
+    VT_AGREED_INDEX = 16,
+    VT_CRASHES = 18,
+    VT_COMPLETIONS = 20
   };
   const bth::fleet::frames::ControlHost *host() const {
     return GetPointer<const bth::fleet::frames::ControlHost *>(VT_HOST);
@@ -1064,6 +1208,12 @@
   uint64_t agreed_index() const {
     return GetField<uint64_t>(VT_AGREED_INDEX, 0);
   }
+  const flatbuffers::Vector<const bth::fleet::frames::Crash *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const bth::fleet::frames::Crash *> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<const bth::fleet::frames::Completion *> *completions() const {
+    return GetPointer<const flatbuffers::Vector<const bth::fleet::frames::Completion *> *>(VT_COMPLETIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -1078,6 +1228,10 @@
            verifier.VerifyVector(list()) &&
            verifier.VerifyVectorOfTables(list()) &&
            VerifyField<uint64_t>(verifier, VT_AGREED_INDEX, 8) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           VerifyOffset(verifier, VT_COMPLETIONS) &&
+           verifier.VerifyVector(completions()) &&
            verifier.EndTable();
   }
   RelayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1110,6 +1264,12 @@
   void add_agreed_index(uint64_t agreed_index) {
     fbb_.AddElement<uint64_t>(Relay::VT_AGREED_INDEX, agreed_index, 0);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Crash *>> crashes) {
+    fbb_.AddOffset(Relay::VT_CRASHES, crashes);
+  }
+  void add_completions(flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Completion *>> completions) {
+    fbb_.AddOffset(Relay::VT_COMPLETIONS, completions);
+  }
   explicit RelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1129,10 +1289,14 @@
     uint64_t list_digest = 0,
     bool has_list = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bth::fleet::frames::Target>>> list = 0,
-    uint64_t agreed_index = 0) {
+    uint64_t agreed_index = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Crash *>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bth::fleet::frames::Completion *>> completions = 0) {
   RelayBuilder builder_(_fbb);
   builder_.add_agreed_index(agreed_index);
   builder_.add_list_digest(list_digest);
+  builder_.add_completions(completions);
+  builder_.add_crashes(crashes);
   builder_.add_list(list);
   builder_.add_list_age_ms(list_age_ms);
   builder_.add_entry_hosts(entry_hosts);
@@ -1149,9 +1313,13 @@
     uint64_t list_digest = 0,
     bool has_list = false,
     const std::vector<flatbuffers::Offset<bth::fleet::frames::Target>> *list = nullptr,
-    uint64_t agreed_index = 0) {
+    uint64_t agreed_index = 0,
+    const std::vector<bth::fleet::frames::Crash> *crashes = nullptr,
+    const std::vector<bth::fleet::frames::Completion> *completions = nullptr) {
   auto entry_hosts__ = entry_hosts ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::EntryHost>>(*entry_hosts) : 0;
   auto list__ = list ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::Target>>(*list) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<bth::fleet::frames::Crash>(*crashes) : 0;
+  auto completions__ = completions ? _fbb.CreateVectorOfStructs<bth::fleet::frames::Completion>(*completions) : 0;
   return bth::fleet::frames::CreateRelay(
       _fbb,
       host,
@@ -1160,7 +1328,9 @@
       list_digest,
       has_list,
       list__,
-      agreed_index);
+      agreed_index,
+      crashes__,
+      completions__);
 }
 
 flatbuffers::Offset<Relay> CreateRelay(flatbuffers::FlatBufferBuilder &_fbb, const RelayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1579,7 +1749,9 @@
         agreed_index(o.agreed_index),
         targets_revision(o.targets_revision),
         serving_life(o.serving_life),
-        stays(o.stays) {
+        stays(o.stays),
+        crashes(o.crashes),
+        completions(o.completions) {
 }
 
 inline ReportT &ReportT::operator=(ReportT o) FLATBUFFERS_NOEXCEPT {
@@ -1589,6 +1761,8 @@
   std::swap(targets_revision, o.targets_revision);
   std::swap(serving_life, o.serving_life);
   std::swap(stays, o.stays);
+  std::swap(crashes, o.crashes);
+  std::swap(completions, o.completions);
   return *this;
 }
 
@@ -1607,6 +1781,8 @@
   { auto _e = targets_revision(); _o->targets_revision = _e; }
   { auto _e = serving_life(); _o->serving_life = _e; }
   { auto _e = stays(); _o->stays = _e; }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = *_e->Get(_i); } } }
+  { auto _e = completions(); if (_e) { _o->completions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->completions[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Report> Report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1623,6 +1799,8 @@
   auto _targets_revision = _o->targets_revision;
   auto _serving_life = _o->serving_life;
   auto _stays = _o->stays;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVectorOfStructs(_o->crashes) : 0;
+  auto _completions = _o->completions.size() ? _fbb.CreateVectorOfStructs(_o->completions) : 0;
   return bth::fleet::frames::CreateReport(
       _fbb,
       _host,
@@ -1630,7 +1808,9 @@
       _agreed_index,
       _targets_revision,
       _serving_life,
-      _stays);
+      _stays,
+      _crashes,
+      _completions);
 }
 
 inline UpdateT::UpdateT(const UpdateT &o)
@@ -1647,7 +1827,9 @@
         entry_count(o.entry_count),
         entry_rank(o.entry_rank),
         has_entry_hosts(o.has_entry_hosts),
-        state_is_current(o.state_is_current) {
+        state_is_current(o.state_is_current),
+        crashes(o.crashes),
+        completions(o.completions) {
   targets.reserve(o.targets.size());
   for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new bth::fleet::frames::TargetT(*targets_) : nullptr); }
   control_hosts.reserve(o.control_hosts.size());
@@ -1674,6 +1856,8 @@
   std::swap(has_entry_hosts, o.has_entry_hosts);
   std::swap(entry_hosts, o.entry_hosts);
   std::swap(state_is_current, o.state_is_current);
+  std::swap(crashes, o.crashes);
+  std::swap(completions, o.completions);
   return *this;
 }
 
@@ -1703,6 +1887,8 @@
   { auto _e = has_entry_hosts(); _o->has_entry_hosts = _e; }
   { auto _e = entry_hosts(); if (_e) { _o->entry_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entry_hosts[_i] = std::unique_ptr<bth::fleet::frames::EntryHostT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = state_is_current(); _o->state_is_current = _e; }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = *_e->Get(_i); } } }
+  { auto _e = completions(); if (_e) { _o->completions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->completions[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Update> Update::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1730,6 +1916,8 @@
   auto _has_entry_hosts = _o->has_entry_hosts;
   auto _entry_hosts = _o->entry_hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::EntryHost>> (_o->entry_hosts.size(), [](size_t i, _VectorArgs *__va) { return CreateEntryHost(*__va->__fbb, __va->__o->entry_hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _state_is_current = _o->state_is_current;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVectorOfStructs(_o->crashes) : 0;
+  auto _completions = _o->completions.size() ? _fbb.CreateVectorOfStructs(_o->completions) : 0;
   return bth::fleet::frames::CreateUpdate(
       _fbb,
       _life,
@@ -1748,7 +1936,9 @@
       _entry_rank,
       _has_entry_hosts,
       _entry_hosts,
-      _state_is_current);
+      _state_is_current,
+      _crashes,
+      _completions);
 }
 
 inline RelayT::RelayT(const RelayT &o)
@@ -1756,7 +1946,9 @@
         list_age_ms(o.list_age_ms),
         list_digest(o.list_digest),
         has_list(o.has_list),
-        agreed_index(o.agreed_index) {
+        agreed_index(o.agreed_index),
+        crashes(o.crashes),
+        completions(o.completions) {
   entry_hosts.reserve(o.entry_hosts.size());
   for (const auto &entry_hosts_ : o.entry_hosts) { entry_hosts.emplace_back((entry_hosts_) ? new bth::fleet::frames::EntryHostT(*entry_hosts_) : nullptr); }
   list.reserve(o.list.size());
@@ -1771,6 +1963,8 @@
   std::swap(has_list, o.has_list);
   std::swap(list, o.list);
   std::swap(agreed_index, o.agreed_index);
+  std::swap(crashes, o.crashes);
+  std::swap(completions, o.completions);
   return *this;
 }
 
@@ -1790,6 +1984,8 @@
   { auto _e = has_list(); _o->has_list = _e; }
   { auto _e = list(); if (_e) { _o->list.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->list[_i] = std::unique_ptr<bth::fleet::frames::TargetT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = agreed_index(); _o->agreed_index = _e; }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = *_e->Get(_i); } } }
+  { auto _e = completions(); if (_e) { _o->completions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->completions[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Relay> Relay::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1807,6 +2003,8 @@
   auto _has_list = _o->has_list;
   auto _list = _o->list.size() ? _fbb.CreateVector<flatbuffers::Offset<bth::fleet::frames::Target>> (_o->list.size(), [](size_t i, _VectorArgs *__va) { return CreateTarget(*__va->__fbb, __va->__o->list[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _agreed_index = _o->agreed_index;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVectorOfStructs(_o->crashes) : 0;
+  auto _completions = _o->completions.size() ? _fbb.CreateVectorOfStructs(_o->completions) : 0;
   return bth::fleet::frames::CreateRelay(
       _fbb,
       _host,
@@ -1815,7 +2013,9 @@
       _list_digest,
       _has_list,
       _list,
-      _agreed_index);
+      _agreed_index,
+      _crashes,
+      _completions);
 }
 
 inline CommandT *Command::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/bth/fleet/messages.cpp
+++ b/bth/fleet/messages.cpp
@@ -116,6 +116,40 @@
     return out;
 }
 
+// Writes the news into a frame, which has a vector of each kind.
+template <class Frame>
+void pack_news(const dispatch::crash_news& news, Frame& out)
+{
+    for (const auto& each : news.crashes) {
+        out.crashes.emplace_back(each.request.value(), each.target.value(), each.service.value(),
+                                 to_ms(each.age));
+    }
+    for (const auto& each : news.completions) {
+        out.completions.emplace_back(each.request.value(), to_ms(each.age));
+    }
+}
+
+duration from_long_ms(std::uint64_t ms)
+{
+    return from_ms(static_cast<std::uint32_t>(std::min<std::uint64_t>(ms, UINT32_MAX)));
+}
+
+template <class Frame>
+dispatch::crash_news unpack_news(const Frame& from)
+{
+    dispatch::crash_news out;
+    for (const auto& each : from.crashes) {
+        out.crashes.push_back({dispatch::request_fingerprint{each.request()},
+                               dispatch::target_key{each.target()},
+                               dispatch::service_key{each.service()}, from_long_ms(each.age_ms())});
+    }
+    for (const auto& each : from.completions) {
+        out.completions.push_back(
+            {dispatch::request_fingerprint{each.request()}, from_long_ms(each.age_ms())});
+    }
+    return out;
+}
+
 frames::ReportT pack(const report& from)
 {
     frames::ReportT out;
@@ -125,6 +159,7 @@
     out.targets_revision = from.targets.value();
     out.serving_life = from.control_incarnation.value();
     out.stays = from.stays;
+    pack_news(from.crashes, out);
     return out;
 }
 
@@ -138,7 +173,8 @@
                   agreed_index{from.agreed_index},
                   catalog_revision{from.targets_revision},
                   incarnation{from.serving_life},
-                  from.stays};
+                  from.stays,
+                  unpack_news(from)};
 }
 
 frames::UpdateT pack(const update& from)
@@ -165,6 +201,7 @@
         out.entry_hosts = pack_all<frames::EntryHostT>(*from.entry_hosts);
     }
     out.state_is_current = from.state_is_current;
+    pack_news(from.crashes, out);
     return out;
 }
 
@@ -188,6 +225,7 @@
         out.entry_hosts = unpack_all<entry_host>(from.entry_hosts);
     }
     out.state_is_current = from.state_is_current;
+    out.crashes = unpack_news(from);
     return out;
 }
 
@@ -203,6 +241,7 @@
         out.list = pack_all<frames::TargetT>(*from.list);
     }
     out.agreed_index = from.index.value();
+    pack_news(from.crashes, out);
     return out;
 }
 
@@ -220,6 +259,7 @@
         out.list = unpack_all<dispatch::target_info>(from.list);
     }
     out.index = agreed_index{from.agreed_index};
+    out.crashes = unpack_news(from);
     return out;
 }
 
--- a/bth/fleet/messages.h
+++ b/bth/fleet/messages.h
@@ -10,6 +10,7 @@
 #include "bth/base/endpoint.h"
 #include "bth/base/ids.h"
 #include "bth/base/time.h"
+#include "bth/dispatch/crash_ledger.h"
 #include "bth/dispatch/target.h"
 #include "bth/route/model.h"
 
@@ -57,6 +58,8 @@
     // Whether the host stays attached even if it learns of a nearer control host, since it has been
     // attached to the nearest one before.
     bool stays{};
+    // News on crashes that other hosts may lack.
+    dispatch::crash_news crashes{};
 };
 
 // The changes of a catalog since a revision, or the full catalog.
@@ -95,6 +98,8 @@
     // Whether the sender follows the group, and the recipient holds with this update all that was
     // agreed on, apart from what is on its way.
     bool state_is_current{};
+    // News on crashes that the recipient may lack.
+    dispatch::crash_news crashes{};
 };
 
 // The state that a control host sends to the others.
@@ -109,6 +114,9 @@
     std::optional<std::vector<dispatch::target_info>> list;
     // What the sender holds of the agreed state; 0 if it doesn't say so.
     agreed_index index;
+    // News on crashes from the attached entry hosts; all that are known if the recipient has just
+    // connected.
+    dispatch::crash_news crashes{};
 };
 
 // A command that replaces the configuration in the agreed state.
--- a/bth/fleet/messages_test.cpp
+++ b/bth/fleet/messages_test.cpp
@@ -14,6 +14,10 @@
 using bth::route::config_version;
 
 const entry_host host{"10.1.0.1", {ipv4_address{0x0a010001}, 80}, "north", true, 20ms};
+const bth::dispatch::crash_news crashes{
+    {{bth::dispatch::request_fingerprint{11}, bth::dispatch::target_key{12},
+      bth::dispatch::service_key{13}, 1400ms}},
+    {{bth::dispatch::request_fingerprint{14}, 1500ms}}};
 const bth::dispatch::target_info facts{"a", "orders", {ipv4_address{1}, 2}, "north", 3, true, 4ms};
 
 } // namespace
@@ -22,8 +26,9 @@
 
 TEST(fleet_messages, a_report_survives_encoding)
 {
-    const auto decoded = decode(encode(report{host, config_version{7}, agreed_index{8},
-                                              catalog_revision{9}, incarnation{10}, true}));
+    const auto decoded =
+        decode(encode(report{host, config_version{7}, agreed_index{8}, catalog_revision{9},
+                             incarnation{10}, true, crashes}));
     const auto& received = std::get<report>(*decoded);
     CHECK_TRUE(received.host == host);
     LONGS_EQUAL(7, received.version.value());
@@ -31,6 +36,7 @@
     LONGS_EQUAL(9, received.targets.value());
     LONGS_EQUAL(10, received.control_incarnation.value());
     CHECK_TRUE(received.stays);
+    CHECK_TRUE(received.crashes == crashes);
 }
 
 TEST(fleet_messages, an_update_survives_encoding)
@@ -47,8 +53,10 @@
     sent.entry_count = 9;
     sent.entry_rank = 8;
     sent.state_is_current = true;
+    sent.crashes = crashes;
     const auto decoded = decode(encode(sent));
     const auto& received = std::get<update>(*decoded);
+    CHECK_TRUE(received.crashes == crashes);
     CHECK_TRUE(received.in_contact);
     STRCMP_EQUAL("text", received.text.c_str());
     CHECK_TRUE(received.evacuated == sent.evacuated);
@@ -97,12 +105,13 @@
 
 TEST(fleet_messages, a_relay_survives_encoding)
 {
-    const auto decoded = decode(encode(
-        relay{{"10.1.0.2", "north"}, {host}, 30ms, 77, std::vector{facts}, agreed_index{5}}));
+    const auto decoded = decode(encode(relay{
+        {"10.1.0.2", "north"}, {host}, 30ms, 77, std::vector{facts}, agreed_index{5}, crashes}));
     const auto& received = std::get<relay>(*decoded);
     CHECK_TRUE(received.entry_hosts.front() == host);
     CHECK(received.list_age == 30ms);
     LONGS_EQUAL(77, received.list_digest);
+    CHECK_TRUE(received.crashes == crashes);
     CHECK_TRUE(received.list->front() == facts);
     LONGS_EQUAL(5, received.index.value());
 }
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -69,6 +69,33 @@
     return refusal_reason::no_target;
 }
 
+// Counts a request on trial as being sent while it exists.
+class trial_guard {
+public:
+    trial_guard(std::set<dispatch::request_fingerprint>& trials,
+                dispatch::request_fingerprint request, dispatch::crash_verdict verdict)
+        : trials{&trials}, request{request}
+    {
+        this->is_counted =
+            verdict == dispatch::crash_verdict::on_trial && this->trials->insert(request).second;
+    }
+    ~trial_guard()
+    {
+        if (this->is_counted) {
+            this->trials->erase(this->request);
+        }
+    }
+    trial_guard(const trial_guard&) = delete;
+    trial_guard& operator=(const trial_guard&) = delete;
+    trial_guard(trial_guard&&) = delete;
+    trial_guard& operator=(trial_guard&&) = delete;
+
+private:
+    std::set<dispatch::request_fingerprint>* trials;
+    dispatch::request_fingerprint request;
+    bool is_counted{};
+};
+
 bool status_implies_not_run(unsigned status)
 {
     const auto code = static_cast<http::status>(status);
@@ -114,6 +141,7 @@
     if (update.in_contact) {
         this->senders.record_contact(now);
     }
+    this->merge_crash_news(now, update.crashes);
     const bool has_targets = update.targets.is_full || !update.targets.changed.empty() ||
                              !update.targets.removed.empty();
     if (has_targets) {
@@ -254,6 +282,7 @@
                             .with("request", state.id)
                             .with("route", state.matched_route->name)
                             .with("service", state.service)
+                            .with("fingerprint", state.fingerprint.value())
                             .with("reason", to_string(reason))
                             .with("run", to_string(reported_run_state))
                             .with("sends", state.attempts)
@@ -463,6 +492,15 @@
                 control->caller_disconnected ? send_outcome::abandoned : send_outcome::timed_out;
             co_return this->finish(state, this->make_failure_response(state, none), "given_up");
         }
+        auto refused = co_await this->await_trial(state);
+        if (refused) {
+            co_return this->finish(state, std::move(*refused), "refusal");
+        }
+        if (control->aborted()) {
+            continue;
+        }
+        const trial_guard trial{this->trials, state.fingerprint,
+                                this->judge_crashes(state).verdict};
         const auto placement =
             dispatch::place(this->board, this->make_placement_question(state),
                             this->work_estimate_for(state.matched_route->name, state.service));
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "bth/dispatch/cold_share.h"
+#include "bth/dispatch/crash_ledger.h"
 #include "bth/dispatch/host_count.h"
 #include "bth/dispatch/placement.h"
 #include "bth/dispatch/region_share.h"
@@ -98,6 +99,11 @@
         return this->forwarder ? this->forwarder->forwarded_in_flight() : 0;
     }
 
+    // The crashes of targets that this host saw or heard of.
+    std::shared_ptr<const dispatch::crash_ledger> crash_ledger() const { return this->crashes; }
+    // Sets what is called when this host has seen a target crash.
+    void on_crash(std::function<void()> handler) { this->crash_handler = std::move(handler); }
+
     bool is_configured() const { return this->version != route::config_version{}; }
     // The version of the configuration in force; 0 before the first one.
     route::config_version held_version() const { return this->version; }
@@ -189,11 +195,22 @@
     std::optional<std::string> sending_host(const dispatch::target& target);
     // Returns whether a request may be written to the target now, and counts it if so. Everything
     // that this host sends passes here, right before its first byte.
-    bool admit_write(dispatch::target& target);
+    bool admit_write(dispatch::target& target, dispatch::request_fingerprint fingerprint);
     // Returns whether this host is a sender of the target, which accepts only few requests.
     bool is_sender(time_point now, const dispatch::target& target) const;
     void update_work_estimate(const outgoing_request& outgoing, const send_result& result,
                               dispatch::fractional_ms took);
+    // Waits until the request may be sent as far as crashes of targets tell. Returns its refusal if
+    // it may not, and nullopt if it may be sent or was cancelled meanwhile.
+    boost::asio::awaitable<std::optional<caller_response>> await_trial(request_state& state);
+    dispatch::crash_judgement judge_crashes(const request_state& state);
+    bool is_barred(time_point now, dispatch::request_fingerprint request);
+    dispatch::host_view crash_view(time_point now) const;
+    // Records that a target crashed with the request, or answered it.
+    void record_crash(const dispatch::target& target, const std::string& request_id,
+                      dispatch::request_fingerprint fingerprint);
+    void record_completion(const request_state& state);
+    void merge_crash_news(time_point now, const dispatch::crash_news& news);
     bool spend_retry(request_state& state, const send_result& result);
     caller_response refuse(const request_state& state, refusal_reason reason, duration retry_after);
     caller_response finish(const request_state& state, caller_response response,
@@ -249,6 +266,10 @@
     dispatch::sender_roster senders;
     // Differs from one forwarded request to the next, so that all senders get some.
     std::size_t turn{};
+    std::shared_ptr<dispatch::crash_ledger> crashes{std::make_shared<dispatch::crash_ledger>()};
+    std::function<void()> crash_handler;
+    // The requests on trial that are being sent; see crash_verdict.
+    std::set<dispatch::request_fingerprint> trials;
     std::shared_ptr<request_forwarder> forwarder;
     std::size_t in_flight{};
     std::mt19937 random{std::random_device{}()};
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -55,6 +55,27 @@
     return "unknown";
 }
 
+std::string_view name_of(decline_reason reason)
+{
+    switch (reason) {
+    case decline_reason::none:
+        return "none";
+    case decline_reason::unfit:
+        return "unfit";
+    case decline_reason::full:
+        return "full";
+    case decline_reason::suspect:
+        return "suspect";
+    }
+    return "unknown";
+}
+
+// Returns whether the target ran the request to its end.
+bool is_completed(const send_result& result)
+{
+    return result.outcome == send_outcome::answered || result.outcome == send_outcome::failed;
+}
+
 } // namespace
 
 std::string gateway::request_bytes(const request_state& state, const dispatch::placement& placement,
@@ -122,10 +143,15 @@
     auto result = co_await this->send_directly(state.request->control, std::move(outgoing));
     if (result.outcome == send_outcome::withheld) {
         --state.attempts;
-        this->decline(state, *target, *sender, "withheld");
+        if (!this->is_barred(shell::monotonic_now(), state.fingerprint)) {
+            this->decline(state, *target, *sender, "withheld");
+        }
         co_return std::nullopt;
     }
     state.may_have_run = state.may_have_run || result.may_have_run;
+    if (is_completed(result)) {
+        this->record_completion(state);
+    }
     co_return result;
 }
 
@@ -163,9 +189,13 @@
            this->senders.is_sender(now, target.info(), this->sender_count(now, target));
 }
 
-bool gateway::admit_write(dispatch::target& target)
+bool gateway::admit_write(dispatch::target& target, dispatch::request_fingerprint fingerprint)
 {
     const auto now = shell::monotonic_now();
+    if (this->is_barred(now, fingerprint)) {
+        this->metrics.count_withheld();
+        return false;
+    }
     if (this->is_limit_probe_due(now, target)) {
         this->defer_limit_probe(now, target);
         target.record_write(now);
@@ -248,14 +278,18 @@
                                 .with("request", state.id)
                                 .with("target", target->info().id)
                                 .with("owner", sender)
-                                .with("reason", !reply ? "unreachable"
-                                                : reply->declined == decline_reason::full ? "full"
-                                                                                          : "unfit")
+                                .with("reason", reply ? name_of(reply->declined) : "unreachable")
                                 .with("at_target", reply ? reply->at_target : 0));
         co_return std::nullopt;
     }
     ++state.attempts;
     state.may_have_run = state.may_have_run || reply->result.may_have_run;
+    if (reply->result.target_refuses) {
+        this->record_crash(*target, state.id, state.fingerprint);
+    }
+    if (is_completed(reply->result)) {
+        this->record_completion(state);
+    }
     outgoing.placement.object_sent_recently = reply->object_sent_recently;
     outgoing.placement.wait = reply->expected_wait;
     this->update_work_estimate(outgoing, reply->result, reply->took);
@@ -293,8 +327,8 @@
         outgoing.at_most_once ? duration{max_idle_at_most_once} : duration{max_idle_repeatable},
         std::chrono::duration_cast<duration>(this->delays.connect_timeout(domain, from_here)),
         &this->header_names,
-        [self = shared_from_this(), target] {
-            return self->admit_write(*target);
+        [self = shared_from_this(), target, fingerprint = outgoing.fingerprint] {
+            return self->admit_write(*target, fingerprint);
         }};
     const auto failures_before = target->consecutive_failures();
     auto result =
@@ -338,6 +372,9 @@
         const auto reachability = co_await probe_target(this->connections, std::move(target_id),
                                                         target->info().target_endpoint, timeout);
         result.target_refuses = reachability == target_reachability::refuses;
+        if (result.target_refuses) {
+            this->record_crash(*target, outgoing.request_id, outgoing.fingerprint);
+        }
     }
     if (result.outcome != send_outcome::withheld) {
         this->metrics.observe_send(target->info().domain, outcome_name(result.outcome),
@@ -466,6 +503,10 @@
                                                           handoff_outcome& out)
 {
     const auto now = shell::monotonic_now();
+    if (this->is_barred(now, handoff.fingerprint)) {
+        out.declined = decline_reason::suspect;
+        return std::nullopt;
+    }
     out.declined = decline_reason::unfit;
     const auto target = this->board.find(handoff.target);
     if (!target || this->stopping) {
--- a/bth/gateway/handoff.cpp
+++ b/bth/gateway/handoff.cpp
@@ -110,7 +110,7 @@
 {
     const bool known_values =
         from.outcome <= static_cast<std::uint8_t>(dispatch::send_outcome::abandoned) &&
-        from.declined <= static_cast<std::uint8_t>(decline_reason::full);
+        from.declined <= static_cast<std::uint8_t>(decline_reason::suspect);
     if (!known_values) {
         return std::nullopt;
     }
--- a/bth/gateway/handoff.h
+++ b/bth/gateway/handoff.h
@@ -49,10 +49,11 @@
 
 // Why a sender did not send a forwarded request. The values go over the wire.
 enum class decline_reason : std::uint8_t {
-    none,  // The request was sent.
-    unfit, // The target can't be used now or is unknown there, or the host is stopping or no
-           // sender.
-    full,  // The queue at the target is too long for this request.
+    none,    // The request was sent.
+    unfit,   // The target can't be used now or is unknown there, or the host is stopping or no
+             // sender.
+    full,    // The queue at the target is too long for this request.
+    suspect, // The request may crash the target.
 };
 
 // The sender's reply to a forwarded request.
--- a/bth/gateway/metrics.cpp
+++ b/bth/gateway/metrics.cpp
@@ -86,6 +86,8 @@
     this->too_long_answers =
         &add_counter(*this->registry, "bth_gateway_too_long_answers_total",
                      "Answers of targets that were given up because they were too long.");
+    this->crashes = &add_counter(*this->registry, "bth_gateway_target_crashes_total",
+                                 "Requests that were running at a target when it crashed.");
     this->withheld =
         &add_counter(*this->registry, "bth_gateway_withheld_total",
                      "Requests not written because their target accepted no further one.");
--- a/bth/gateway/metrics.h
+++ b/bth/gateway/metrics.h
@@ -47,6 +47,8 @@
     void count_limit() { this->limits->Increment(); }
     // Counts an answer that was given up because it was too long.
     void count_too_long_answer() { this->too_long_answers->Increment(); }
+    // Counts a crash of a target, for each request that was running there.
+    void count_crash() { this->crashes->Increment(); }
     // Counts a request that was not written, because its target accepted no further one.
     void count_withheld() { this->withheld->Increment(); }
 
@@ -78,6 +80,7 @@
     prometheus::Counter* rests;
     prometheus::Counter* limits;
     prometheus::Counter* withheld;
+    prometheus::Counter* crashes;
     prometheus::Counter* too_long_answers;
     prometheus::Family<prometheus::Counter>* leaving_targets;
     prometheus::Family<prometheus::Counter>* sends;
