Let callers of requests that crash targets change their address in the tests; they fail

With callers that come from another address each time the tests show what the users saw: 106 sends later than 3 s after the third crash.

--- a/process_tests/platform_crashes_test.py
+++ b/process_tests/platform_crashes_test.py
@@ -28,6 +28,7 @@
         # Long enough for other requests to be at a target that crashes.
         for each in self.targets:
             each.seconds = 0.05
+        self.sources = itertools.count()
 
     def crashes(self):
         return sorted(at for each in self.targets for at in each.crashes)
@@ -36,9 +37,9 @@
         return sorted(each.at for target in self.targets for each in target.arrivals() if each.path == path)
 
     def try_once(self, domain, path=PATH, pays=False):
-        """One request; nothing if the host didn't answer."""
+        """One request, from an address of the caller that differs each time; nothing if the host didn't answer."""
         with contextlib.suppress(OSError):
-            return self.ask(domain, path=path, pays=pays)
+            return self.ask(domain, path=path, pays=pays, source=self.address(210 + next(self.sources) % 40))
         return None
 
     @contextlib.contextmanager
--- a/process_tests/platform_signals_test.py
+++ b/process_tests/platform_signals_test.py
@@ -53,14 +53,15 @@
         with target.lock:
             target.reached.clear()
 
-    def ask(self, domain, key="7", pays=False, deadline_ms=5000, path=None):
+    def ask(self, domain, key="7", pays=False, deadline_ms=5000, path=None, source=None):
         number = f"{next(self.numbers):016x}"
         headers = {"Host": "shop.example", REQUEST_ID: number, PREFIX + "Affinity-Key": key,
                    PREFIX + "Deadline-Milliseconds": str(deadline_ms)}
         sent = time.monotonic()
         status, got, text = harness.call(
             self.listen(f"entry-{domain}", "callers"), "POST" if pays else "GET",
-            path or ("/pay/a" if pays else "/read/a"), headers, b"1" if pays else None, timeout=10)
+            path or ("/pay/a" if pays else "/read/a"), headers, b"1" if pays else None,
+            source=source, timeout=10)
         server = text.split()[0].decode() if status == 200 else ""
         return Outcome(domain, sent, time.monotonic() - sent, status, got, server, pays, number,
                        "" if status == 200 else text.decode(errors="replace"))
