Recognize a request whatever address it comes from

An address isn't what makes a request crash a target, and callers change theirs. The fingerprint holds what the request itself says: its credentials, method, host, path, query, object and body.

--- a/bth/dispatch/request_fingerprint.h
+++ b/bth/dispatch/request_fingerprint.h
@@ -1,11 +1,12 @@
 // Recognizes a request that comes again, at any host: by what its callers repeat, not by the id or
 // the time budget of a single attempt.
 //
-//   request_fingerprint known = fingerprint_of({caller, "GET", "shop.example", "/a?b=c", "7",
-//   body});
+//   auto known = fingerprint_of({credentials, "GET", "shop.example", "/a?b=c", "7", body});
+//
+// The address from which a request comes is no part of it: a caller may have several, one after the
+// other or at the same time.
 #pragma once
 
-#include "bth/base/endpoint.h"
 #include "bth/base/strong_id.h"
 
 #include <cstdint>
@@ -17,7 +18,8 @@
 
 // What stays the same when a caller repeats a request.
 struct request_identity {
-    ipv4_address caller;
+    // What the request says of its caller; empty if it says nothing.
+    std::string_view credentials;
     std::string_view method;
     std::string_view host;
     // The path and the query.
--- a/bth/dispatch/request_fingerprint_test.cpp
+++ b/bth/dispatch/request_fingerprint_test.cpp
@@ -12,7 +12,7 @@
 
 request_identity usual_request()
 {
-    return {{10}, "POST", "shop.example", "/pay/a?b=c", "7", long_body};
+    return {"Bearer 10", "POST", "shop.example", "/pay/a?b=c", "7", long_body};
 }
 
 } // namespace
@@ -31,7 +31,7 @@
 {
     const auto known = fingerprint_of(usual_request());
     auto other = usual_request();
-    other.caller = {11};
+    other.credentials = "Bearer 11";
     CHECK(fingerprint_of(other) != known);
     other = usual_request();
     other.method = "PUT";
--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -41,11 +41,6 @@
       capacity_signal{this->socket.get_executor()}, timer{this->socket.get_executor()},
       last_activity{shell::monotonic_now()}
 {
-    boost::system::error_code error;
-    const auto peer = this->socket.remote_endpoint(error);
-    if (!error && peer.address().is_v4()) {
-        this->caller = {peer.address().to_v4().to_uint()};
-    }
     ++this->request_gateway->callers;
 }
 
@@ -160,7 +155,6 @@
     pipelined->request = std::make_shared<served_request>();
     pipelined->request->started = this->last_activity;
     pipelined->request->message = parser.release();
-    pipelined->request->caller = this->caller;
     this->queue.push_back(pipelined);
     asio::co_spawn(
         this->socket.get_executor(),
--- a/bth/gateway/caller_session.h
+++ b/bth/gateway/caller_session.h
@@ -50,8 +50,6 @@
     void abort_connection();
 
     boost::asio::ip::tcp::socket socket;
-    // 0 if the caller had disconnected before the session began.
-    ipv4_address caller;
     std::shared_ptr<gateway> request_gateway;
     boost::beast::flat_buffer buffer;
     std::deque<std::shared_ptr<pipelined_request>> queue;
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -340,8 +340,8 @@
     state.service = this->splits[matched_route->name].next(matched_route->split);
     const auto object = view(request->message[this->header_names.object]);
     state.fingerprint = dispatch::fingerprint_of(
-        {request->caller, view(request->message.method_string()), host,
-         view(request->message.target()), object, request->message.body()});
+        {view(request->message[http::field::authorization]), view(request->message.method_string()),
+         host, view(request->message.target()), object, request->message.body()});
     state.object = matched_route->sticky ? dispatch::make_object_key(state.service, object) : 0;
     state.deadline = request->started + matched_route->timeout;
     const auto caller_timeout_ms =
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -69,7 +69,6 @@
 // A request of a caller that is being served.
 struct served_request {
     caller_request message;
-    ipv4_address caller;
     time_point started;
     std::shared_ptr<send_control> control{std::make_shared<send_control>()};
 };
