--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -28,6 +28,8 @@
 import random
 import re
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -69,6 +71,8 @@
     def __init__(self, listen, to, find_sender):
         self.listen, self.to, self.mode = listen, to, "pass"
         self.find_sender, self.senders = find_sender, {}
+        # The entry hosts that can't open connections; what each one has open.
+        self.cut_off, self.open = set(), []
         host, port = listen.rsplit(":", 1)
         self.server = harness.socket.create_server((host, int(port)))
         threading.Thread(target=self.accept, daemon=True).start()
@@ -84,7 +88,13 @@
                     return
                 continue
             far.settimeout(None)
-            self.senders[far.getsockname()] = self.find_sender(near.getpeername(), self.listen)
+            sender = self.find_sender(near.getpeername(), self.listen)
+            self.senders[far.getsockname()] = sender
+            if sender in self.cut_off:
+                self.reset(near)
+                far.close()
+                continue
+            self.open.append((sender, near))
             for come, go, outward in ((near, far, True), (far, near, False)):
                 threading.Thread(target=self.pump, args=(come, go, outward), daemon=True).start()
 
@@ -107,6 +117,26 @@
             except OSError:
                 pass
 
+    def cut(self, sender, keeps_open):
+        """The host can open no connections from now on; those that it has are reset or live on."""
+        self.cut_off.add(sender)
+        if not keeps_open:
+            for each, connection in self.open:
+                if each == sender:
+                    self.reset(connection)
+            self.open = [each for each in self.open if each[0] != sender]
+
+    def mend(self, sender):
+        self.cut_off.discard(sender)
+
+    @staticmethod
+    def reset(connection):
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            # Another thread may be reading; only this ends its wait.
+            connection.shutdown(socket.SHUT_RD)
+            connection.close()
+
     def close(self):
         self.server.close()
 
