Refuse the connections of a host that is cut off before they are made, and let them hang

A proxy that accepts a connection and resets it isn't what a cut looks like: the connection seems made for as long as the proxy takes to find out whose it is, which was up to a second beside load. Tests now build the entry host's program with a connect() of their own, which refuses connections to targets or lets them hang; connections that were open are reset by the proxies or live on. The bounds stay.

--- a/process_tests/harness.py
+++ b/process_tests/harness.py
@@ -53,13 +53,14 @@
 class Process:
     """One running program; its standard output and error go to files."""
 
-    def __init__(self, folder, name, arguments):
+    def __init__(self, folder, name, arguments, environment=None):
         self.name = name
         self.out = open(folder / f"{name}.out", "wb")
         self.err_path = folder / f"{name}.err"
         self.err = open(self.err_path, "wb")
         self.popen = subprocess.Popen([str(each) for each in arguments], stdout=subprocess.PIPE,
-                                      stderr=self.err, stdin=subprocess.DEVNULL)
+                                      stderr=self.err, stdin=subprocess.DEVNULL,
+                                      env={**os.environ, **(environment or {})})
 
     def wait_ready(self):
         """Waits for the line "ready"; fails if the program ends before."""
@@ -122,10 +123,10 @@
         path.write_text(content if isinstance(content, str) else json.dumps(content, indent=1))
         return path
 
-    def launch(self, program, *arguments, name=None):
-        """Starts a program without waiting for it to be ready."""
+    def launch(self, program, *arguments, name=None, environment=None):
+        """Starts a program without waiting for it to be ready; `environment` adds to that of the test."""
         process = Process(self.folder, name or f"{program}-{len(self.processes)}",
-                          [BINARIES / program, *arguments])
+                          [BINARIES / program, *arguments], environment)
         self.processes.append(process)
         return process
 
--- a/process_tests/platform_cut_off_test.py
+++ b/process_tests/platform_cut_off_test.py
@@ -1,4 +1,5 @@
 """Entry hosts that can't reach any target, while callers, control hosts and other entry hosts reach them."""
+import socket
 import time
 
 import harness
@@ -16,7 +17,28 @@
 RETURN_S = 3
 
 
+class SilentListener:
+    """Connections to it hang: its queue is full, and it accepts none."""
+
+    def __init__(self, listen):
+        self.listen = listen
+        host, port = listen.rsplit(":", 1)
+        self.server = socket.create_server((host, int(port)), backlog=0)
+        self.fillers = []
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+            self.fillers.append(filler)
+
+    def close(self):
+        for each in [*self.fillers, self.server]:
+            each.close()
+
+
 class PlatformCutOffTest(PlatformSignalsTest):
+    entry_program = "bth-test-entry-with-connect-filter"
+
     # Only the tests of this class; the others run by their own file.
     for name in [each for each in dir(PlatformSignalsTest) if each.startswith("test_")]:
         locals()[name] = None
@@ -24,6 +46,7 @@
 
     def setUp(self):
         super().setUp()
+        self.silent = SilentListener(self.endpoint(240))
         self.proxies = []
         for row, each in enumerate(self.targets):
             proxy = Proxy(self.endpoint(170 + row), each.endpoint, self.find_sender)
@@ -35,18 +58,30 @@
 
     def tearDown(self):
         super().tearDown()
+        self.silent.close()
         for each in self.proxies:
             each.close()
 
-    def cut(self, *domains, keeps_open=False):
-        for proxy in self.proxies:
-            for domain in domains:
-                proxy.cut(domain, keeps_open)
+    def filter_of(self, domain):
+        return self.folder / f"connect-filter-{domain}"
+
+    def entry_environment(self, domain):
+        return {"BTH_CONNECT_FILTER": str(self.filter_of(domain))}
+
+    def cut(self, *domains, how="refuse", keeps_open=False):
+        """New connections of these entry hosts to targets are refused or hang; open ones are reset, or live on."""
+        text = "refuse" if how == "refuse" else f"hang {self.silent.listen}"
+        for domain in domains:
+            new = self.folder / "new-filter"
+            new.write_text("\n".join([text, *[each.listen for each in self.proxies]]))
+            new.replace(self.filter_of(domain))
+            for proxy in self.proxies:
+                if not keeps_open:
+                    proxy.reset_connections_of(domain)
 
     def mend(self, *domains):
-        for proxy in self.proxies:
-            for domain in domains:
-                proxy.mend(domain)
+        for domain in domains:
+            self.filter_of(domain).unlink()
 
     def is_served_by_proxy(self, domain):
         number = self.ask(domain).number
@@ -56,12 +91,12 @@
         return [each for target in self.targets for each in target.arrivals()
                 if each.sender == domain and each.at > since]
 
-    def play_cut(self, *domains, keeps_open=False):
+    def play_cut(self, *domains, how="refuse", keeps_open=False):
         """Cuts these hosts off; returns the outcomes from CONTACT_S after that to the end of the cut, and that end."""
         with self.callers() as outcomes:
             time.sleep(1)
             begun = time.monotonic()
-            self.cut(*domains, keeps_open=keeps_open)
+            self.cut(*domains, how=how, keeps_open=keeps_open)
             time.sleep(CONTACT_S + CUT_S)
             ended = time.monotonic()
             ready = {each: self.is_ready(each) for each in domains}
@@ -105,6 +140,11 @@
         self.check_served(outcomes, {"n1"})
         self.check_returns("n1", ended)
 
+    def test_callers_are_served_where_new_connections_hang(self):
+        outcomes, ended = self.play_cut("n1", how="hang")
+        self.check_served(outcomes, {"n1"})
+        self.check_returns("n1", ended)
+
     def test_callers_of_a_region_that_is_cut_off_are_served(self):
         outcomes, ended = self.play_cut("n1", "n2")
         self.check_served(outcomes, {"n1", "n2"})
--- a/process_tests/platform_fleet.py
+++ b/process_tests/platform_fleet.py
@@ -22,6 +22,8 @@
 
 
 class PlatformFleet(harness.ProcessTest):
+    entry_program = "bth-platform-entry"
+
     def setUp(self):
         super().setUp()
         self.numbers = itertools.count(1)
@@ -82,8 +84,12 @@
                                      "readiness": harness.free_endpoint(address)})
         self.settings[f"entry-{domain}"] = settings
         self.entries[domain] = self.launch(
-            "bth-platform-entry", "--settings", self.write(f"entry-{domain}.json", settings),
-            name=f"entry-{domain}-{len(self.processes)}")
+            self.entry_program, "--settings", self.write(f"entry-{domain}.json", settings),
+            name=f"entry-{domain}-{len(self.processes)}", environment=self.entry_environment(domain))
+
+    def entry_environment(self, domain):
+        """What a test adds to the environment of an entry host."""
+        return {}
 
     def find_sender(self, peer, endpoint):
         """The domain of the entry host whose connection to `endpoint` comes from `peer`, if any. All of them come from
--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -71,8 +71,8 @@
     def __init__(self, listen, to, find_sender):
         self.listen, self.to, self.mode = listen, to, "pass"
         self.find_sender, self.senders = find_sender, {}
-        # The entry hosts that can't open connections; what each one has open.
-        self.cut_off, self.open = set(), []
+        # The open connections, each with its entry host.
+        self.open = []
         host, port = listen.rsplit(":", 1)
         self.server = harness.socket.create_server((host, int(port)))
         threading.Thread(target=self.accept, daemon=True).start()
@@ -90,10 +90,6 @@
             far.settimeout(None)
             sender = self.find_sender(near.getpeername(), self.listen)
             self.senders[far.getsockname()] = sender
-            if sender in self.cut_off:
-                self.reset(near)
-                far.close()
-                continue
             self.open.append((sender, near))
             for come, go, outward in ((near, far, True), (far, near, False)):
                 threading.Thread(target=self.pump, args=(come, go, outward), daemon=True).start()
@@ -117,17 +113,11 @@
             except OSError:
                 pass
 
-    def cut(self, sender, keeps_open):
-        """The host can open no connections from now on; those that it has are reset or live on."""
-        self.cut_off.add(sender)
-        if not keeps_open:
-            for each, connection in self.open:
-                if each == sender:
-                    self.reset(connection)
-            self.open = [each for each in self.open if each[0] != sender]
-
-    def mend(self, sender):
-        self.cut_off.discard(sender)
+    def reset_connections_of(self, sender):
+        for each, connection in self.open:
+            if each == sender:
+                self.reset(connection)
+        self.open = [each for each in self.open if each[0] != sender]
 
     @staticmethod
     def reset(connection):
