Bring requests that crash targets, crashes by chance and hosts that are cut off into the soak

A request that crashes what runs it comes again at any host, half of the targets crash at once, and an entry host's new connections to targets are refused or hang while its others are reset or live on; these overlap with all other faults. Checked are the sends of such a request by hosts in touch, refusals of others for it, and first tries at a host that is cut off beside those elsewhere. The proxies end with their targets, so that a crash refuses connections.

--- a/process_tests/platform_cut_off_test.py
+++ b/process_tests/platform_cut_off_test.py
@@ -1,11 +1,10 @@
 """Entry hosts that can't reach any target, while callers, control hosts and other entry hosts reach them."""
-import socket
 import time
 
 import harness
 from platform_fleet import DOMAINS
 from platform_signals_test import PlatformSignalsTest
-from platform_soak import Proxy
+from platform_soak import ProxiedFleet
 from platform_standins import CONTACT_S
 
 # First tries at hosts that are cut off must be served at least so much as often as those at the others, unless few fail.
@@ -17,28 +16,7 @@
 RETURN_S = 3
 
 
-class SilentListener:
-    """Connections to it hang: its queue is full, and it accepts none."""
-
-    def __init__(self, listen):
-        self.listen = listen
-        host, port = listen.rsplit(":", 1)
-        self.server = socket.create_server((host, int(port)), backlog=0)
-        self.fillers = []
-        for _ in range(4):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex((host, int(port)))
-            self.fillers.append(filler)
-
-    def close(self):
-        for each in [*self.fillers, self.server]:
-            each.close()
-
-
-class PlatformCutOffTest(PlatformSignalsTest):
-    entry_program = "bth-test-entry-with-connect-filter"
-
+class PlatformCutOffTest(ProxiedFleet, PlatformSignalsTest):
     # Only the tests of this class; the others run by their own file.
     for name in [each for each in dir(PlatformSignalsTest) if each.startswith("test_")]:
         locals()[name] = None
@@ -46,46 +24,7 @@
 
     def setUp(self):
         super().setUp()
-        self.silent = SilentListener(self.endpoint(240))
-        self.proxies = []
-        for row, each in enumerate(self.targets):
-            proxy = Proxy(self.endpoint(170 + row), each.endpoint, self.find_sender)
-            self.proxies.append(proxy)
-            each.endpoint, each.sender_of = proxy.listen, proxy.senders.get
-            # Connections that are kept to a target under its old name don't go through the proxy.
-            each.name = f"{each.name}-{each.domain}"
-        self.until(lambda: all(self.is_served_by_proxy(domain) for domain in self.entries), "the proxies are listed")
-
-    def tearDown(self):
-        super().tearDown()
-        self.silent.close()
-        for each in self.proxies:
-            each.close()
-
-    def filter_of(self, domain):
-        return self.folder / f"connect-filter-{domain}"
-
-    def entry_environment(self, domain):
-        return {"BTH_CONNECT_FILTER": str(self.filter_of(domain))}
-
-    def cut(self, *domains, how="refuse", keeps_open=False):
-        """New connections of these entry hosts to targets are refused or hang; open ones are reset, or live on."""
-        text = "refuse" if how == "refuse" else f"hang {self.silent.listen}"
-        for domain in domains:
-            new = self.folder / "new-filter"
-            new.write_text("\n".join([text, *[each.listen for each in self.proxies]]))
-            new.replace(self.filter_of(domain))
-            for proxy in self.proxies:
-                if not keeps_open:
-                    proxy.reset_connections_of(domain)
-
-    def mend(self, *domains):
-        for domain in domains:
-            self.filter_of(domain).unlink()
-
-    def is_served_by_proxy(self, domain):
-        number = self.ask(domain).number
-        return any(each.number == number and each.sender for target in self.targets for each in target.arrivals())
+        self.wrap_targets()
 
     def arrivals_from(self, domain, since):
         return [each for target in self.targets for each in target.arrivals()
--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -17,6 +17,8 @@
 - a target that says in its answers that it leaves gets nothing sent later than the drain time from the hosts it told, and
   one that asks for rest gets at most two requests from a host in that time;
 - a target that names a limit gets no more than it allows from all hosts together that it has told;
+- a request that crashes the targets that run it is contained, and no other is refused for it;
+- a host that is cut off from all targets serves its callers like the others, through them;
 - a target that starts again cold gets no more than the bound in any second, from all hosts together, whatever befalls them;
 - once the faults have ended, every host serves again, and every control host takes part in the group.
 """
@@ -39,7 +41,7 @@
 import platform_fleet
 from platform_fleet import DOMAINS, ROUTES, PlatformFleet
 from platform_standins import (
-    CONTACT_S, LIMIT_WINDOW_S, RECEIPT, configuration, limit_bound, most_in_a_window, most_within_limit)
+    CONTACT_S, LIMIT_WINDOW_S, RECEIPT, Target, configuration, limit_bound, most_in_a_window, most_within_limit)
 
 # Seeds that have failed once, each with its cause. They are played again with every run in CI.
 KEPT = {
@@ -63,6 +65,27 @@
 # The most requests a second that a cold target takes, by the fleet's settings and the configuration.
 COLD_BOUND = 5 * 1.5 + 5
 RECOVERY_SECONDS = 20
+# How often hosts in touch may send a request later than CONTACT_S after it has crashed its third target.
+MAX_LATER_SENDS = 3
+
+
+class SilentListener:
+    """Connections to it hang: its queue is full, and it accepts none."""
+
+    def __init__(self, listen):
+        self.listen = listen
+        host, port = listen.rsplit(":", 1)
+        self.server = socket.create_server((host, int(port)), backlog=0)
+        self.fillers = []
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+            self.fillers.append(filler)
+
+    def close(self):
+        for each in [*self.fillers, self.server]:
+            each.close()
 
 
 class Proxy:
@@ -73,18 +96,30 @@
         self.find_sender, self.senders = find_sender, {}
         # The open connections, each with its entry host.
         self.open = []
-        host, port = listen.rsplit(":", 1)
-        self.server = harness.socket.create_server((host, int(port)))
-        threading.Thread(target=self.accept, daemon=True).start()
+        self.restart()
+
+    def restart(self):
+        host, port = self.listen.rsplit(":", 1)
+        self.server = socket.create_server((host, int(port)))
+        threading.Thread(target=self.accept, args=(self.server,), daemon=True).start()
+
+    def crash(self):
+        """New connections are refused until the restart, and open ones end."""
+        self.server.shutdown(socket.SHUT_RDWR)
+        self.server.close()
+        ended, self.open = self.open, []
+        for _, connection in ended:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
 
-    def accept(self):
+    def accept(self, server):
         while True:
             try:
-                near, _ = self.server.accept()
+                near, _ = server.accept()
                 host, port = self.to.rsplit(":", 1)
-                far = harness.socket.create_connection((host, int(port)), timeout=5)
+                far = socket.create_connection((host, int(port)), timeout=5)
             except OSError:
-                if self.server.fileno() < 0:
+                if server.fileno() < 0:
                     return
                 continue
             far.settimeout(None)
@@ -131,20 +166,59 @@
         self.server.close()
 
 
-class SoakFleet(PlatformFleet):
-    """A fleet whose targets are reached through proxies."""
+class ProxiedFleet(PlatformFleet):
+    """A fleet whose targets are reached through proxies, and whose entry hosts can be cut off from them."""
 
-    maxDiff = None
+    entry_program = "bth-test-entry-with-connect-filter"
 
     def setUp(self):
         self.proxies = []
         super().setUp()
+        self.silent = SilentListener(self.endpoint(240))
 
     def tearDown(self):
         super().tearDown()
-        for each in self.proxies:
+        for each in [*self.proxies, self.silent]:
             each.close()
 
+    def filter_of(self, domain):
+        return self.folder / f"connect-filter-{domain}"
+
+    def entry_environment(self, domain):
+        return {"BTH_CONNECT_FILTER": str(self.filter_of(domain))}
+
+    def cut(self, *domains, how="refuse", keeps_open=False):
+        """New connections of these entry hosts to targets are refused or hang; open ones are reset, or live on."""
+        text = "refuse" if how == "refuse" else f"hang {self.silent.listen}"
+        for domain in domains:
+            new = self.folder / f"new-filter-{domain}"
+            new.write_text("\n".join([text, *[each.listen for each in self.proxies]]))
+            new.replace(self.filter_of(domain))
+            for proxy in self.proxies:
+                if not keeps_open:
+                    proxy.reset_connections_of(domain)
+
+    def mend(self, *domains):
+        for domain in domains:
+            self.filter_of(domain).unlink()
+
+    def wrap_targets(self):
+        for row, each in enumerate(self.targets):
+            proxy = Proxy(self.endpoint(170 + row), each.endpoint, self.find_sender)
+            self.proxies.append(proxy)
+            each.endpoint, each.sender_of, each.front = proxy.listen, proxy.senders.get, proxy
+            # Connections that are kept to a target under its old name don't go through the proxy.
+            each.name = f"{each.name}-{each.domain}"
+        self.until(lambda: all(self.is_served_by_proxy(domain) for domain in self.entries), "the proxies are listed")
+
+    def is_served_by_proxy(self, domain):
+        number = self.send(domain)[3]
+        return any(each.number == number and each.sender for target in self.targets for each in target.arrivals())
+
+
+class SoakFleet(ProxiedFleet):
+    maxDiff = None
+
     def runTest(self):
         seed = int(os.environ["BTH_SOAK_SEED"])
         self.wrap_targets()
@@ -152,13 +226,6 @@
         play.run()
         self.assertEqual(play.findings, [], f"seed {seed}; faults: {play.told}")
 
-    def wrap_targets(self):
-        for row, each in enumerate(self.targets):
-            proxy = Proxy(self.endpoint(170 + row), each.endpoint, self.find_sender)
-            self.proxies.append(proxy)
-            each.endpoint, each.sender_of = proxy.listen, proxy.senders.get
-        self.until(lambda: all(self.send(domain)[0] == 200 for domain in self.entries), "the proxies are listed")
-
 
 class Play:
     """One seed: callers, faults, and what was found."""
@@ -178,6 +245,7 @@
         self.runs_at = []
         self.version = 1
         self.limited, self.chilled = [], []
+        self.crashing_paths, self.cuts, self.outcomes = [], [], []
 
     def run(self):
         callers = [threading.Thread(target=self.call, args=(domain, number))
@@ -188,6 +256,7 @@
                   self.freeze_control, self.kill_all_controls, self.disturb_links, self.shed, self.hang_up,
                   self.evacuate, self.configure]
         # Disks are twice as likely as the others.
+        faults += 2 * [self.crash_by_request, self.cut_off] + [self.crash_by_chance]
         faults += [self.configuration_series, self.leave, self.rest, self.limit, self.limit, self.chill, self.chill] + 2 * [self.fill_control_disk]
         busy = []
         while time.monotonic() - self.begun < FAULT_SECONDS:
@@ -205,6 +274,8 @@
             each.join()
         self.check_evacuations()
         self.check_signals()
+        self.check_crashing_requests()
+        self.check_cuts()
 
     def guard(self, fault, length, pick):
         try:
@@ -239,8 +310,8 @@
         time.sleep(length)
         settings = self.fleet.settings[f"entry-{domain}"]
         self.fleet.entries[domain] = self.fleet.launch(
-            "bth-platform-entry", "--settings", self.fleet.write(f"entry-{domain}.json", settings),
-            name=f"entry-{domain}-{time.monotonic_ns()}")
+            self.fleet.entry_program, "--settings", self.fleet.write(f"entry-{domain}.json", settings),
+            name=f"entry-{domain}-{time.monotonic_ns()}", environment=self.fleet.entry_environment(domain))
 
     def kill_entry(self, length, pick):
         def act(domain):
@@ -356,6 +427,31 @@
         self.limited.append((target, float(target.limit), time.monotonic()))
         target.limit = None
 
+    def crash_by_request(self, length, pick):
+        """A request that crashes each target that runs it comes again at any host."""
+        path = f"/read/{Target.CRASHING}-{len(self.crashing_paths)}"
+        self.crashing_paths.append(path)
+        ends = time.monotonic() + CONTACT_S + length
+        chance = random.Random(pick)
+        while time.monotonic() < ends:
+            with contextlib.suppress(OSError, harness.http.client.HTTPException):
+                self.fleet.send(chance.choice(list(DOMAINS)), path, timeout=8)
+            time.sleep(0.1)
+
+    def crash_by_chance(self, _length, pick):
+        for target in random.Random(pick).sample(self.fleet.targets, len(self.fleet.targets) // 2):
+            target.crash()
+
+    def cut_off(self, length, pick):
+        domain = self.some(DOMAINS, pick)
+        if self.fleet.filter_of(domain).exists():
+            return
+        begun = time.monotonic()
+        self.fleet.cut(domain, how="hang" if pick * 64 % 1 < 0.5 else "refuse", keeps_open=pick * 128 % 1 < 0.3)
+        time.sleep(CONTACT_S + length)
+        self.cuts.append((domain, begun, time.monotonic()))
+        self.fleet.mend(domain)
+
     def chill(self, length, pick):
         """A target ends, and another one starts on its address, cold; others may follow at once."""
         for target in self.fleet.targets[int(pick * len(self.fleet.targets))::2]:
@@ -407,6 +503,9 @@
                 time.sleep(0.05)
                 continue
             self.note_end(domain, begun, None)
+            self.outcomes.append((domain, begun, got[0] == 200))
+            if got[0] == 503 and b"crashes_targets" in got[2]:
+                self.findings.append(f"{begun - self.begun:.1f}s at {domain}: {path} is refused for crashes")
             self.check_known(domain, path, begun, got[0])
             self.check_answer(pays, begun, *got)
 
@@ -507,6 +606,39 @@
                 self.findings.append(f"{begun - self.begun:.1f}s {name}, cold, gets {most} in a second, "
                                      f"{COLD_BOUND} allowed")
 
+    def is_in_touch(self, sender, now):
+        """Whether this entry host and the control hosts were well for CONTACT_S."""
+        names = [sender or "links", "links", *[f"control-{each}" for each in DOMAINS]]
+        return not any(self.was_disturbed(each, now - CONTACT_S, now) for each in names)
+
+    def check_crashing_requests(self):
+        for path in self.crashing_paths:
+            crashes = sorted(at for target in self.fleet.targets
+                             for at, cause in zip(target.crashes, target.crash_causes) if cause == path)
+            if len(crashes) < 3:
+                continue
+            late = [each for target in self.fleet.targets for each in target.arrivals()
+                    if each.path == path and each.at > crashes[2] + CONTACT_S and self.is_in_touch(each.sender, each.at)]
+            if len(late) > MAX_LATER_SENDS:
+                self.findings.append(f"{crashes[2] - self.begun:.1f}s {path} has crashed three targets; sent {len(late)} "
+                                     f"times more by hosts in touch")
+
+    def check_cuts(self):
+        for domain, begun, ended in self.cuts:
+            since = begun + CONTACT_S
+            names = ["links", *DOMAINS, *[f"control-{each}" for each in DOMAINS]]
+            others_cut = any(other != domain and start < ended and begun < end for other, start, end in self.cuts)
+            if others_cut or any(self.was_disturbed(each, begun - CONTACT_S, ended) for each in names):
+                continue
+            tries = [each for each in self.outcomes if since < each[1] < ended]
+            here = [ok for each, _, ok in tries if each == domain]
+            others = [ok for each, _, ok in tries if each != domain]
+            failed = here.count(False)
+            if here and others and failed > 10 + len(here) / 50 and \
+                    failed / len(here) > 1 - 2 / 3 * others.count(True) / len(others):
+                self.findings.append(f"{begun - self.begun:.1f}s {domain}, cut off from all targets, serves "
+                                     f"{len(here) - failed} of {len(here)}, the others {others.count(True)} of {len(others)}")
+
     def check_leaving(self, sender, arrivals):
         told = {}
         for each in arrivals:
--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -133,8 +133,10 @@
         self.sender_of = lambda peer: None
         self.lock = threading.Lock()
         self.reached = []
-        # When it crashed.
-        self.crashes = []
+        # When it crashed, and the path of the request that was the cause; none if it crashed by chance.
+        self.crashes, self.crash_causes = [], []
+        # What stands before the target and ends and starts again with it, if anything does.
+        self.front = None
         self.is_down = False
         target = self
 
@@ -144,23 +146,28 @@
 
             do_POST = do_GET
 
-        self.handler = Handler
+        self.handler, self.bound = Handler, endpoint
         self.server = serve(endpoint, Handler)
 
-    def crash(self):
+    def crash(self, cause=None):
         """Ends with all that runs here. Another target starts on the address after DOWN_S."""
         with self.lock:
             if self.is_down:
                 return
             self.is_down = True
             self.crashes.append(time.monotonic())
+            self.crash_causes.append(cause)
+        if self.front:
+            self.front.crash()
         self.server.crash()
         threading.Thread(target=self.restart, daemon=True).start()
 
     def restart(self):
         time.sleep(self.DOWN_S)
-        self.start_again(f"{self.name}'", 0)
-        self.server = serve(self.endpoint, self.handler)
+        self.start_again(f"{self.name}'-{self.domain}", 0)
+        self.server = serve(self.bound, self.handler)
+        if self.front:
+            self.front.restart()
         self.is_down = False
 
     def take(self, request):
@@ -196,7 +203,7 @@
         time.sleep(self.seconds)
         if self.CRASHING in request.path:
             request.close_connection = True
-            self.crash()
+            self.crash(request.path)
             return
         if self.mode == "cut":
             request.close_connection = True
