--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -237,8 +237,8 @@
     dispatch::crash_judgement judge_crashes(const request_state& state);
     bool is_barred(time_point now, dispatch::request_fingerprint request);
     dispatch::host_view crash_view(time_point now) const;
-    // Returns whether a target that broke a connection off has crashed: it refuses new connections,
-    // while this host reaches others. A connection may also have been reset on the way.
+    // Returns whether a target that broke a connection off has crashed: it refuses new connections.
+    // A connection may also have been reset on the way.
     boost::asio::awaitable<bool> has_crashed(dispatch::target_ptr target);
     // Records that a target crashed with the request, or answered it.
     void record_crash(const dispatch::target& target, const std::string& request_id,
--- a/bth/gateway/gateway_crashes.cpp
+++ b/bth/gateway/gateway_crashes.cpp
@@ -94,8 +94,9 @@
     }
     this->contact.record_failure(now, target->info().id);
     this->start_watching_contact(now);
-    co_await this->await_contact_test();
-    co_return reachability == target_reachability::refuses && !this->contact.is_cut_off();
+    // A host that is cut off sees all its targets crash in one moment, which counts little against
+    // any request. Where all targets did crash, the request that is the cause must be known.
+    co_return reachability == target_reachability::refuses;
 }
 
 void gateway::record_crash(const dispatch::target& target, const std::string& request_id,
