--- a/bth/dispatch/crash_ledger.h
+++ b/bth/dispatch/crash_ledger.h
@@ -117,9 +117,10 @@
     // after 300 ms, an update of an entry host after 200 ms, and messages between regions take
     // tens of milliseconds.
     static constexpr std::chrono::milliseconds settling_time{600};
-    // Crashes of a service that lie closer together may have one cause: connections that break
-    // together are noticed over the longest way to any host.
-    static constexpr std::chrono::milliseconds wave_length{250};
+    // Crashes of a service that lie closer together may have one cause. Connections that break
+    // together are noticed over ways of different length, and late by hosts that are short of
+    // processor time.
+    static constexpr std::chrono::milliseconds wave_length{500};
     // The most crashes that are remembered, counted for each request that was at the target.
     static constexpr std::size_t max_crashes = 2048;
     // The most reports in the news for one message.
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -240,9 +240,10 @@
     // Returns whether a target that broke a connection off has crashed: it refuses new connections.
     // A connection may also have been reset on the way.
     boost::asio::awaitable<bool> has_crashed(dispatch::target_ptr target);
-    // Records that a target crashed with the request, or answered it.
+    // Records that a target crashed with the request, by the time at which its connection ended, or
+    // answered it.
     void record_crash(const dispatch::target& target, const std::string& request_id,
-                      dispatch::request_fingerprint fingerprint);
+                      dispatch::request_fingerprint fingerprint, time_point at);
     void record_completion(const request_state& state);
     void merge_crash_news(time_point now, const dispatch::crash_news& news);
     // Returns the final response to a request by the result of an attempt, or nullopt if it is to
--- a/bth/gateway/gateway_crashes.cpp
+++ b/bth/gateway/gateway_crashes.cpp
@@ -100,14 +100,12 @@
 }
 
 void gateway::record_crash(const dispatch::target& target, const std::string& request_id,
-                           dispatch::request_fingerprint fingerprint)
+                           dispatch::request_fingerprint fingerprint, time_point at)
 {
     const auto now = shell::monotonic_now();
     const auto& info = target.info();
-    const dispatch::crash_report seen{fingerprint,
-                                      dispatch::make_target_key(info.id),
-                                      dispatch::make_service_key(info.service),
-                                      {}};
+    const dispatch::crash_report seen{fingerprint, dispatch::make_target_key(info.id),
+                                      dispatch::make_service_key(info.service), now - at};
     if (!this->crashes->record_crash(now, seen, dispatch::news_source::observed)) {
         return;
     }
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -271,7 +271,7 @@
     ++state.attempts;
     state.may_have_run = state.may_have_run || reply->result.may_have_run;
     if (reply->result.target_refuses) {
-        this->record_crash(*target, state.id, state.fingerprint);
+        this->record_crash(*target, state.id, state.fingerprint, now);
     }
     if (is_completed(reply->result)) {
         this->record_completion(state);
@@ -350,7 +350,7 @@
     if (result.outcome == send_outcome::broken && result.is_connection_lost) {
         result.target_refuses = co_await this->has_crashed(target);
         if (result.target_refuses) {
-            this->record_crash(*target, outgoing.request_id, outgoing.fingerprint);
+            this->record_crash(*target, outgoing.request_id, outgoing.fingerprint, now);
         }
     }
     if (result.outcome != send_outcome::withheld) {
