--- a/bth/gateway/caller_listener.cpp
+++ b/bth/gateway/caller_listener.cpp
@@ -45,6 +45,15 @@
     }
 }
 
+void caller_listener::cut()
+{
+    for (const auto& weak_session : this->sessions) {
+        if (const auto session = weak_session.lock()) {
+            session->cut();
+        }
+    }
+}
+
 asio::awaitable<void> caller_listener::accept_connections()
 {
     while (this->acceptor.is_open()) {
--- a/bth/gateway/caller_listener.h
+++ b/bth/gateway/caller_listener.h
@@ -25,6 +25,8 @@
     void stop_accepting();
     // Closes the connections that have no request in flight.
     void close_idle();
+    // Closes all connections, whatever is in flight, since the process exits.
+    void cut();
 
 private:
     boost::asio::awaitable<void> accept_connections();
--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -33,6 +33,23 @@
 // all bytes.
 constexpr std::chrono::milliseconds lingering_close_timeout{1000};
 
+std::string_view name_of(connection_end why)
+{
+    switch (why) {
+    case connection_end::caller_gone:
+        return "caller_gone";
+    case connection_end::idle:
+        return "idle";
+    case connection_end::linger_expired:
+        return "linger_expired";
+    case connection_end::write_failed:
+        return "write_failed";
+    case connection_end::exit:
+        return "exit";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 caller_session::caller_session(asio::ip::tcp::socket socket,
@@ -62,16 +79,37 @@
 void caller_session::close_if_idle()
 {
     if (this->queue.empty() && !this->reading_request) {
-        this->abort_connection();
+        this->abort_connection(connection_end::idle);
+    }
+}
+
+// Logs the requests that end without a complete response although their caller waits for it.
+void caller_session::report_cut_requests(connection_end why)
+{
+    // A caller that was told that the connection closes expects no further response.
+    if (why == connection_end::caller_gone && !this->read_closed) {
+        return;
+    }
+    for (const auto& pipelined : this->queue) {
+        this->request_gateway->metrics.count_cut_request();
+        this->request_gateway->events->write(
+            shell::event{"request_cut"}
+                .with("request", this->request_gateway->request_id(pipelined->request->message))
+                .with("why", name_of(why))
+                .with("connection_closing", this->read_closed)
+                .with("response_ready", pipelined->response.has_value())
+                .with("stopping", this->request_gateway->stopping)
+                .with("age_ms", shell::monotonic_now() - pipelined->request->started));
     }
 }
 
 // Closes the connection and cancels its requests in flight.
-void caller_session::abort_connection()
+void caller_session::abort_connection(connection_end why)
 {
     if (std::exchange(this->closed, true)) {
         return;
     }
+    this->report_cut_requests(why);
     for (const auto& pipelined : this->queue) {
         if (!pipelined->response) {
             pipelined->request->control->caller_disconnected = true;
@@ -124,7 +162,7 @@
     this->reading_request = false;
     if (this->closed || this->read_closed) {
         // A request that arrives after the final response is dropped; to the caller it is unread.
-        this->abort_connection();
+        this->abort_connection(connection_end::caller_gone);
         co_return false;
     }
     if (error == http::error::header_limit) {
@@ -145,8 +183,7 @@
         co_return false;
     }
     if (error) {
-        // The caller has disconnected.
-        this->abort_connection();
+        this->abort_connection(connection_end::caller_gone);
         co_return false;
     }
     this->last_activity = shell::monotonic_now();
@@ -175,7 +212,7 @@
         co_await this->socket.async_read_some(asio::buffer(discarded),
                                               asio::redirect_error(asio::use_awaitable, error));
     }
-    this->abort_connection();
+    this->abort_connection(connection_end::caller_gone);
     co_return false;
 }
 
@@ -221,13 +258,13 @@
         boost::system::error_code error;
         co_await asio::async_write(this->socket, asio::buffer(bytes),
                                    asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            this->abort_connection(connection_end::write_failed);
+        }
         this->queue.pop_front();
         this->last_activity = shell::monotonic_now();
         this->capacity_signal.cancel();
-        if (error) {
-            this->abort_connection();
-        }
-        else if (closes) {
+        if (!error && closes) {
             co_await this->begin_lingering_close();
         }
     }
@@ -244,7 +281,7 @@
     this->timer.expires_after(lingering_close_timeout);
     this->timer.async_wait([self = shared_from_this()](const auto& wait_error) {
         if (!wait_error) {
-            self->abort_connection();
+            self->abort_connection(connection_end::linger_expired);
         }
     });
     co_return;
@@ -278,7 +315,7 @@
         const bool too_idle = !receiving_request && now - this->last_activity >= idle_timeout;
         const bool too_slow = receiving_since && now - *receiving_since >= header_timeout;
         if (this->queue.empty() && (too_idle || too_slow)) {
-            this->abort_connection();
+            this->abort_connection(connection_end::idle);
         }
     }
 }
--- a/bth/gateway/caller_session.h
+++ b/bth/gateway/caller_session.h
@@ -7,6 +7,7 @@
 
 #include "bth/gateway/gateway.h"
 
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -19,6 +20,17 @@
 
 namespace bth::gateway {
 
+// Why a connection of a caller ends.
+enum class connection_end : std::uint8_t {
+    caller_gone,
+    idle,
+    // The caller didn't close the connection after the last response.
+    linger_expired,
+    write_failed,
+    // The process exits.
+    exit,
+};
+
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
     caller_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<gateway> request_gateway);
@@ -28,6 +40,8 @@
     // Closes the connection if no request is in flight. Otherwise it is closed after the last
     // response, provided that the gateway is stopping.
     void close_if_idle();
+    // Closes the connection, whatever is in flight, since the process exits.
+    void cut() { this->abort_connection(connection_end::exit); }
 
 private:
     // A request in the queue: its response is written once all earlier ones have been.
@@ -47,7 +61,8 @@
     boost::asio::awaitable<void> begin_lingering_close();
     boost::asio::awaitable<void> enforce_timeouts();
     void send_error_response(unsigned status, std::string_view reason);
-    void abort_connection();
+    void abort_connection(connection_end why);
+    void report_cut_requests(connection_end why);
 
     boost::asio::ip::tcp::socket socket;
     std::shared_ptr<gateway> request_gateway;
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -215,6 +215,11 @@
     this->board.set_evacuated(now, domains, longest_cold_time);
 }
 
+std::string_view gateway::request_id(const caller_request& request) const
+{
+    return view(request[this->header_names.request_id]);
+}
+
 std::string gateway::render_metrics(bool ready)
 {
     return this->metrics.render({this->in_flight, this->callers, this->connections.size(),
@@ -343,7 +348,7 @@
 {
     const auto self = shared_from_this();
     this->metrics.count_request();
-    std::string id{view(request->message[this->header_names.request_id])};
+    std::string id{this->request_id(request->message)};
     if (auto refused = this->refuse_unroutable(*request, id)) {
         co_return std::move(*refused);
     }
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -138,6 +138,10 @@
     {
         return this->routes.source_configuration().limits;
     }
+    // The id that the caller gave the request; empty if it has none.
+    std::string_view request_id(const caller_request& request) const;
+    // Requests of callers and of other hosts that are being served.
+    std::size_t requests_in_flight() const { return this->in_flight; }
     // Closes idle connections to targets that the targets are about to close.
     void sweep(time_point now) { this->connections.sweep(now); }
 
--- a/bth/gateway/metrics.cpp
+++ b/bth/gateway/metrics.cpp
@@ -43,6 +43,8 @@
                                                               "Requests that callers sent.")},
       caller_disconnects{&add_counter(*this->registry, "bth_gateway_callers_gone_total",
                                       "Requests whose caller left before the answer.")},
+      cut_requests{&add_counter(*this->registry, "bth_gateway_requests_cut_total",
+                                "Requests that this host ended without a complete answer.")},
       in_flight{&add_gauge(*this->registry, "bth_gateway_in_flight",
                            "Requests that wait for their answer.")},
       callers{&add_gauge(*this->registry, "bth_gateway_callers", "Open connections of callers.")},
--- a/bth/gateway/metrics.h
+++ b/bth/gateway/metrics.h
@@ -33,6 +33,8 @@
 
     void count_request() { this->requests->Increment(); }
     void count_caller_disconnected() { this->caller_disconnects->Increment(); }
+    // Counts a request that ended without a complete response although its caller waited for it.
+    void count_cut_request() { this->cut_requests->Increment(); }
     // Priority 0 is the most urgent; requests without a known route count as priority 0.
     void count_refusal(refusal_reason reason, std::uint32_t priority);
     void count_retry(retry_reason reason);
@@ -98,6 +100,7 @@
     std::shared_ptr<prometheus::Registry> registry;
     prometheus::Counter* requests;
     prometheus::Counter* caller_disconnects;
+    prometheus::Counter* cut_requests;
     std::array<std::array<prometheus::Counter*, refusal_reason_count>, priority_count> refusals{};
     prometheus::Counter* retries_denied;
     prometheus::Counter* rests;
