--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -128,6 +128,8 @@
         self.state = "ready"
         self.seconds = 0.005
         self.mode = "serve"
+        # What follows the text of each answer.
+        self.padding = b""
         self.leaving = False
         # The text of the limit in all answers; None: there is none.
         self.limit = None
@@ -215,7 +217,7 @@
             request.close_connection = True
             request.connection.close()
             return
-        text = f"{self.name} {request.command} {request.path} {len(body)}".encode()
+        text = f"{self.name} {request.command} {request.path} {len(body)}".encode() + self.padding
         self.finish(request, arrival, 200, [*echo, (RECEIPT, "seal-" + number)], text)
 
     def finish(self, request, arrival, status, headers, text=b""):
--- /dev/null
+++ b/process_tests/platform_stop_test.py
@@ -0,0 +1,170 @@
+"""What callers get around a stop of an entry host: each request that reached a target gets its whole answer."""
+import itertools
+import json
+import random
+import signal
+import threading
+import time
+
+import harness
+from kept_connection import KeptConnection, keep_calling
+from platform_fleet import ROUTES, PlatformFleet
+from platform_standins import configuration
+
+# The settings of the fleet: the grace time, the life of a look-up, and three times that, for which a stopping host takes callers.
+GRACE_S = 6
+LOOK_UP_TTL_S = 1.2
+TAKES_CALLERS_S = 3 * LOOK_UP_TTL_S
+
+
+class PlatformStopTest(PlatformFleet):
+    def setUp(self):
+        super().setUp()
+        self.numbering = threading.Lock()
+
+    def settings_of(self, domain, address, listen, **more):
+        settings = super().settings_of(domain, address, listen, **more)
+        settings["limits"].update(stop_grace_s=GRACE_S, look_up_ttl_s=LOOK_UP_TTL_S)
+        return settings
+
+    def number(self):
+        with self.numbering:
+            return f"{next(self.numbers):016x}"
+
+    def connect(self, domain="n1", **options):
+        return KeptConnection(self.listen(f"entry-{domain}", "callers"), **options)
+
+    def stop(self, domain="n1"):
+        entry = self.entries[domain]
+        entry.signal(signal.SIGTERM)
+        self.until(lambda: any(b"event=stop " in line for line in self.lines(entry)), "the host is stopping")
+        return time.monotonic()
+
+    def receive_all(self, connections):
+        for each in connections:
+            while each.receive(10):
+                pass
+            each.close()
+
+    def arrivals(self):
+        return {each.number: each for target in self.targets for each in target.arrivals()}
+
+    def assert_none_lost(self, requests):
+        arrivals = self.arrivals()
+        lost = [each for each in requests if each.status is None and each.number in arrivals]
+        self.assertEqual((len(lost), lost[:3]), (0, []))
+
+    def assert_exits(self, domain="n1"):
+        self.assertEqual(self.entries[domain].wait_exit(), 0)
+
+    def test_request_read_with_the_last_answer_is_not_lost(self):
+        for each in self.targets:
+            each.seconds = 0.3
+        connections = [self.connect() for _ in range(5)]
+        first = [each.send(self.number()) for each in connections]
+        self.until(lambda: all(each.number in self.arrivals() for each in first), "the requests are at targets")
+        self.stop()
+        # The last answers and the next requests are there in one turn of the event loop.
+        self.entries["n1"].signal(signal.SIGSTOP)
+        self.until(lambda: all(self.arrivals()[each.number].answered for each in first), "the targets have answered")
+        second = [each.send(self.number()) for each in connections]
+        time.sleep(0.1)
+        self.entries["n1"].signal(signal.SIGCONT)
+        self.receive_all(connections)
+        self.assertEqual([each.status for each in first], [200] * len(first))
+        self.assert_none_lost(second)
+        self.assert_exits()
+
+    def test_requests_of_callers_that_always_have_two_in_flight_are_not_cut(self):
+        for each in self.targets:
+            each.seconds = 0.1
+        over = threading.Event()
+        results = []
+
+        def call(row):
+            results.append(keep_calling(self.connect, self.number, random.Random(row), over.is_set, depth=2 + row % 2))
+
+        callers = [threading.Thread(target=call, args=(row,)) for row in range(8)]
+        for each in callers:
+            each.start()
+        time.sleep(0.5)
+        stopped = self.stop()
+        self.assert_exits()
+        took = time.monotonic() - stopped
+        over.set()
+        for each in callers:
+            each.join()
+        requests = list(itertools.chain(*results))
+        self.assert_none_lost(requests)
+        with self.subTest("served until look-ups that name the host have expired"):
+            late = [each for each in requests if each.status == 200 and each.sent > stopped + TAKES_CALLERS_S - 0.5]
+            self.assertGreater(len(late), 0)
+        with self.subTest("the process doesn't wait for its grace time to end"):
+            self.assertLess(took, GRACE_S - 1)
+
+    def test_further_stop_signals_cut_nothing(self):
+        for each in self.targets:
+            each.seconds = 1.0
+        connections = [self.connect() for _ in range(4)]
+        requests = [each.send(self.number()) for each in connections]
+        self.until(lambda: all(each.number in self.arrivals() for each in requests), "the requests are at targets")
+        self.stop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGTERM):
+            time.sleep(0.1)
+            self.entries["n1"].signal(number)
+        self.receive_all(connections)
+        self.assertEqual([each.status for each in requests], [200] * len(requests))
+        self.assert_exits()
+
+    def test_long_request_that_comes_late_is_refused_unrun_or_answered(self):
+        wanted = configuration(2, ROUTES, ["orders"])
+        for route in wanted["routes"].values():
+            route["timeoutS"], route["targetLatencyS"] = 8, 4
+        self.put(wanted)
+        self.until(lambda: any(b"version=2" in line for line in self.lines(self.entries["n1"])), "the timeouts are in force")
+        for each in self.targets:
+            each.seconds = 2.5
+        # The host learns how long the requests take.
+        known = [self.connect() for _ in range(6)]
+        for each in known:
+            each.send(self.number(), deadline_ms=8000)
+        self.until(lambda: not any([each.receive(0.01) and each.waiting for each in known]), "requests are answered")
+        for each in known:
+            each.close()
+        stopped = self.stop()
+        time.sleep(max(0, stopped + TAKES_CALLERS_S - 0.1 - time.monotonic()))
+        connections = [self.connect() for _ in range(3)]
+        late = [each.send(self.number(), deadline_ms=8000) for each in connections]
+        self.receive_all(connections)
+        self.assert_none_lost(late)
+        self.assertEqual([each for each in late if each.status == 503 and each.number in self.arrivals()], [])
+        self.assertEqual([each for each in late if each.status not in (200, 503)], [])
+        with self.subTest("refused at once"):
+            self.assertEqual([each for each in late if each.status == 503 and each.ended - each.sent > 1], [])
+        self.assert_exits()
+
+    def test_request_read_while_the_last_answer_is_written_is_not_lost(self):
+        body_bytes = 4_000_000
+        for each in self.targets:
+            each.seconds = 0.3
+            each.padding = b"x" * body_bytes
+        connection = self.connect(receive_buffer=65536)
+        first = connection.send(self.number())
+        self.until(lambda: first.number in self.arrivals(), "the request is at a target")
+        self.stop()
+        self.until(lambda: self.arrivals()[first.number].answered, "the target has answered")
+        # The answer is long and the caller reads it slowly, so that it is still on its way.
+        behind = []
+        for _ in range(3):
+            time.sleep(0.1)
+            behind.append(connection.send(self.number()))
+        while connection.receive(10, most=16384):
+            time.sleep(0.001)
+        connection.close()
+        self.assertEqual(first.status, 200)
+        self.assert_none_lost(behind)
+        self.assert_exits()
+
+
+if __name__ == "__main__":
+    harness.main()
