End the reading of requests before the last answer of a connection is written, not after

Callers saw a closed connection and no answer for requests that a stopping host had sent to a target. A session decides that an answer is the last one of its connection, writes it, and only then stopped to read; a request that was read in between was sent, and its answer found the connection closed for writing. The window is one turn of the event loop for a short answer, and the whole time of writing for a long one or a slow caller. It needs a caller that doesn't wait for one answer before the next request, so all cases are of idempotent requests, as in the users' record; many events fall into one turn where a process gets a part of a core in slices, as on real machines.

Now the decision itself ends the reading. A request behind it counts as unread for the caller, who sends it again. Input is discarded until the caller closes or the linger time ends; before, a further request closed the connection under the answer.

--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -150,7 +150,7 @@
     co_await http::async_read_header(this->socket, this->buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     this->reading_request = true;
-    if (!error && parser.get()[http::field::expect] == "100-continue") {
+    if (!error && !this->read_closed && parser.get()[http::field::expect] == "100-continue") {
         static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(this->socket, asio::buffer(continue_response),
                                    asio::redirect_error(asio::use_awaitable, error));
@@ -160,11 +160,14 @@
                                   asio::redirect_error(asio::use_awaitable, error));
     }
     this->reading_request = false;
-    if (this->closed || this->read_closed) {
-        // A request that arrives after the final response is dropped; to the caller it is unread.
-        this->abort_connection(connection_end::caller_gone);
+    if (this->closed) {
         co_return false;
     }
+    if (this->read_closed) {
+        // To the caller, a request behind the last response is unread, so it isn't served. That
+        // response may still be on its way, so the connection isn't closed either.
+        co_return co_await this->wait_for_disconnect();
+    }
     if (error == http::error::header_limit) {
         this->send_error_response(
             static_cast<unsigned>(http::status::request_header_fields_too_large), "header_limit");
@@ -254,6 +257,8 @@
             this->request_gateway->stopping && is_last && !this->reading_request;
         const bool closes = pipelined->response->closes_connection ||
                             pipelined->caller_requests_close || closes_for_stop;
+        // From here on no request is served: its response would find the connection closed.
+        this->read_closed = this->read_closed || closes;
         const auto bytes = serialize(*pipelined->response, closes);
         boost::system::error_code error;
         co_await asio::async_write(this->socket, asio::buffer(bytes),
@@ -275,7 +280,6 @@
 // with unread input would reset it and could lose the response.
 asio::awaitable<void> caller_session::begin_lingering_close()
 {
-    this->read_closed = true;
     boost::system::error_code error;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
     this->timer.expires_after(lingering_close_timeout);
--- a/bth/gateway/caller_session.h
+++ b/bth/gateway/caller_session.h
@@ -76,7 +76,7 @@
     time_point last_activity;
     bool reading_request{};
     bool writing{};
-    // The final response has been written; no further request is read.
+    // The last response is being written or has been; no further request is served.
     bool read_closed{};
     bool closed{};
 };
