Let every connection of a stopping host come to rest when its time for callers ends

Callers with several requests in flight saw their connection closed when a stopping host exited, 0.3 s before the end of the grace time. The last answer of a connection was recognized by an empty queue, so that a caller who always sends the next request before the answer to the one before never got it, and was served until the exit.

--- a/bth/gateway/caller_listener.cpp
+++ b/bth/gateway/caller_listener.cpp
@@ -36,11 +36,11 @@
     this->acceptor.close(ignored);
 }
 
-void caller_listener::close_idle()
+void caller_listener::finish_connections()
 {
     for (const auto& weak_session : this->sessions) {
         if (const auto session = weak_session.lock()) {
-            session->close_if_idle();
+            session->finish();
         }
     }
 }
--- a/bth/gateway/caller_listener.h
+++ b/bth/gateway/caller_listener.h
@@ -2,7 +2,8 @@
 //
 //   auto listener = std::make_shared<caller_listener>(std::move(acceptor), request_gateway);
 //   listener->start();
-//   listener->close_idle();
+//   listener->stop_accepting();
+//   listener->finish_connections();
 #pragma once
 
 #include "bth/gateway/caller_session.h"
@@ -23,8 +24,9 @@
     void start();
     // Stops accepting connections; open connections stay open.
     void stop_accepting();
-    // Closes the connections that have no request in flight.
-    void close_idle();
+    // Lets each connection end with the requests that were read from it; see
+    // caller_session::finish(). Call repeatedly until no connection is left.
+    void finish_connections();
     // Closes all connections, whatever is in flight, since the process exits.
     void cut();
 
--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -76,11 +76,16 @@
         [self = shared_from_this()] { return self->enforce_timeouts(); }, asio::detached);
 }
 
-void caller_session::close_if_idle()
+void caller_session::finish()
 {
-    if (this->queue.empty() && !this->reading_request) {
+    if (this->closed || this->read_closed || this->reading_request) {
+        return;
+    }
+    if (this->queue.empty()) {
         this->abort_connection(connection_end::idle);
+        return;
     }
+    this->read_closed = true;
 }
 
 // Logs the requests that end without a complete response although their caller waits for it.
@@ -135,6 +140,9 @@
         }
         keep_reading = co_await this->read_request();
     }
+    if (keep_reading && !this->closed) {
+        co_await this->wait_for_disconnect();
+    }
 }
 
 // Reads one request and starts to serve it. Returns false if no further request can be read.
@@ -256,7 +264,8 @@
         const bool closes_for_stop =
             this->request_gateway->stopping && is_last && !this->reading_request;
         const bool closes = pipelined->response->closes_connection ||
-                            pipelined->caller_requests_close || closes_for_stop;
+                            pipelined->caller_requests_close || closes_for_stop ||
+                            (this->read_closed && is_last);
         // From here on no request is served: its response would find the connection closed.
         this->read_closed = this->read_closed || closes;
         const auto bytes = serialize(*pipelined->response, closes);
--- a/bth/gateway/caller_session.h
+++ b/bth/gateway/caller_session.h
@@ -37,9 +37,10 @@
     ~caller_session();
 
     void start();
-    // Closes the connection if no request is in flight. Otherwise it is closed after the last
-    // response, provided that the gateway is stopping.
-    void close_if_idle();
+    // Serves no request but those that were read already: the response to the last of them closes
+    // the connection. Without any, the connection is closed. A request that is being read is left
+    // alone; call again to end the connection after it.
+    void finish();
     // Closes the connection, whatever is in flight, since the process exits.
     void cut() { this->abort_connection(connection_end::exit); }
 
