Ignore further stop signals while a program stops

A second SIGTERM, or SIGINT, ended a stopping process at once with all that was in flight: the handler went away with its first call, and asio restores the default action with the last handler. Callers of all kinds of requests saw closed connections, and no 'stopped' line was written.

stop_signal now holds the handler until the program has ended. This concerns all programs, control hosts included.

--- a/bth/control/main.cpp
+++ b/bth/control/main.cpp
@@ -81,13 +81,13 @@
     const auto server =
         std::make_shared<bth::shell::http_server>(std::move(*acceptor), service->handler());
     server->start();
-    bth::shell::on_stop_signal(context, [&] {
-        LOG4CPLUS_INFO(log, "Stopping.");
-        server->stop();
-        on_stop();
-        feed->stop();
-        link->stop();
-    });
+    const bth::shell::stop_signal stop{context, [&] {
+                                           LOG4CPLUS_INFO(log, "Stopping.");
+                                           server->stop();
+                                           on_stop();
+                                           feed->stop();
+                                           link->stop();
+                                       }};
     LOG4CPLUS_INFO(log, "Listening on " << bth::to_string(settings.http) << " with version "
                                         << decider.status().version.value() << ".");
     bth::shell::announce_ready();
--- a/bth/entry/main.cpp
+++ b/bth/entry/main.cpp
@@ -29,7 +29,9 @@
     if (const auto started = process->start(); !started) {
         return bth::shell::fail_start(program, started.error());
     }
-    bth::shell::on_stop_signal(context, [process] { process->stop(); });
+    const bth::shell::stop_signal stop{context, [process] {
+                                           process->stop();
+                                       }};
     bth::shell::announce_ready();
     context.run();
     return bth::shell::exit_ok;
--- a/bth/shell/program.cpp
+++ b/bth/shell/program.cpp
@@ -2,11 +2,8 @@
 
 #include <csignal>
 #include <iostream>
-#include <memory>
 #include <utility>
 
-#include <boost/asio/signal_set.hpp>
-
 namespace bth::shell {
 
 int fail_start(const std::string& program, const std::string& message)
@@ -21,11 +18,11 @@
     std::cout << "ready" << std::endl;
 }
 
-void on_stop_signal(boost::asio::io_context& context, std::function<void()> on_stop)
+stop_signal::stop_signal(boost::asio::io_context& context, std::function<void()> on_stop)
+    : signals{context, SIGTERM, SIGINT}
 {
-    auto signals = std::make_shared<boost::asio::signal_set>(context, SIGTERM, SIGINT);
-    signals->async_wait(
-        [signals, on_stop = std::move(on_stop)](const boost::system::error_code& error, int) {
+    this->signals.async_wait(
+        [on_stop = std::move(on_stop)](const boost::system::error_code& error, int) {
             if (!error) {
                 on_stop();
             }
--- a/bth/shell/program.h
+++ b/bth/shell/program.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 
 namespace bth::shell {
 
@@ -23,7 +24,18 @@
 // listens.
 void announce_ready();
 
-// Calls `on_stop` once, on the first SIGTERM or SIGINT.
-void on_stop_signal(boost::asio::io_context& context, std::function<void()> on_stop);
+// Calls `on_stop` once, on the first SIGTERM or SIGINT. Further ones are ignored for as long as
+// this object exists, so it must live until the process has finished what it stops; the default
+// action would end the process at once.
+//
+//   const stop_signal stop{context, [&] { server->stop(); }};
+//   context.run();
+class stop_signal {
+public:
+    stop_signal(boost::asio::io_context& context, std::function<void()> on_stop);
+
+private:
+    boost::asio::signal_set signals;
+};
 
 } // namespace bth::shell
--- a/bth/standins/platform_main.cpp
+++ b/bth/standins/platform_main.cpp
@@ -91,7 +91,9 @@
             co_return answer(state, request);
         });
     server->start();
-    bth::shell::on_stop_signal(context, [&context] { context.stop(); });
+    const bth::shell::stop_signal stop{context, [&context] {
+                                           context.stop();
+                                       }};
     bth::shell::announce_ready();
     context.run();
     return bth::shell::exit_ok;
