--- a/process_tests/platform_stop_test.py
+++ b/process_tests/platform_stop_test.py
@@ -116,6 +116,19 @@
         self.assertEqual([each.status for each in requests], [200] * len(requests))
         self.assert_exits()
 
+    def test_reload_signal_while_starting_ends_no_process(self):
+        for start, running in ((self.start_entry, self.entries), (self.start_control, self.controls)):
+            for _ in range(5):
+                running["n1"].kill()
+                start("n1", 0)
+                # From the first line on; before it, the program may not run yet.
+                self.until(lambda: self.lines(running["n1"]), "the program runs")
+                for _ in range(20):
+                    running["n1"].signal(signal.SIGHUP)
+                    time.sleep(0.001)
+                time.sleep(0.2)
+                self.assertIsNone(running["n1"].popen.poll())
+
     def test_long_request_that_comes_late_is_refused_unrun_or_answered(self):
         wanted = configuration(2, ROUTES, ["orders"])
         for route in wanted["routes"].values():
