Bound requests that come to a stopping host by its exit

Callers of long requests saw a closed connection: a stopping host takes callers for 3.6 s and exits 2.1 s later, and a request that takes longer than that was sent with its full time and cut at the exit.

A request that comes after the signal is now due 0.2 s before the exit: its target is told so, and its answer comes whole. One that the placement expects to take longer is refused at once with 503 (shutting_down): it hasn't run, and another host has the time.

--- a/bth/gateway/caller_response_test.cpp
+++ b/bth/gateway/caller_response_test.cpp
@@ -105,11 +105,14 @@
     CHECK(plan.accept_until >= look_up_ttl(5s) * 3);
     CHECK(plan.exit_by < 6s);
     CHECK(plan.exit_by - plan.accept_until >= 1900ms);
+    CHECK(plan.answer_by > plan.accept_until);
+    CHECK(plan.answer_by < plan.exit_by);
 }
 
 TEST(stop_plan, deadlines_stay_within_a_short_grace_time)
 {
     const auto plan = plan_stop(1s, 5s);
     CHECK(plan.accept_until <= plan.exit_by);
+    CHECK(plan.answer_by < plan.exit_by);
     CHECK(plan.exit_by < 1s);
 }
--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -103,7 +103,7 @@
                 .with("why", name_of(why))
                 .with("connection_closing", this->read_closed)
                 .with("response_ready", pipelined->response.has_value())
-                .with("stopping", this->request_gateway->stopping)
+                .with("stopping", this->request_gateway->is_stopping())
                 .with("age_ms", shell::monotonic_now() - pipelined->request->started));
     }
 }
@@ -262,7 +262,7 @@
         const auto pipelined = this->queue.front();
         const bool is_last = this->queue.size() == 1;
         const bool closes_for_stop =
-            this->request_gateway->stopping && is_last && !this->reading_request;
+            this->request_gateway->is_stopping() && is_last && !this->reading_request;
         const bool closes = pipelined->response->closes_connection ||
                             pipelined->caller_requests_close || closes_for_stop ||
                             (this->read_closed && is_last);
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -296,6 +296,17 @@
         dispatch::return_after_rest(failure.remaining_rest, state.priority, spread(this->random)));
 }
 
+caller_response gateway::refuse_unplaced(const request_state& state,
+                                         const dispatch::placement_error& failure)
+{
+    if (failure.reason == dispatch::placement_failure::deadline_exceeded &&
+        state.is_due_before_stop) {
+        // Another host has the time.
+        return this->refuse(state, refusal_reason::shutting_down, min_retry_after);
+    }
+    return this->refuse(state, reason_of(failure.reason), this->return_time(state, failure));
+}
+
 caller_response gateway::refuse(const request_state& state, refusal_reason reason,
                                 duration retry_after)
 {
@@ -384,6 +395,10 @@
                                 response_network_delay);
     }
     state.objective_deadline = request->started + matched_route->objective;
+    if (this->answer_by && *this->answer_by < state.deadline) {
+        state.deadline = *this->answer_by;
+        state.is_due_before_stop = true;
+    }
 
     if (auto refused = this->charge_allowance(state)) {
         co_return std::move(*refused);
@@ -572,9 +587,7 @@
                 placement ? dispatch::placement_error{dispatch::placement_failure::overload,
                                                       state.last_declined_wait}
                           : placement.error();
-            const auto retry_after = this->return_time(state, failed);
-            co_return this->finish(
-                state, this->refuse(state, reason_of(failed.reason), retry_after), "refusal");
+            co_return this->finish(state, this->refuse_unplaced(state, failed), "refusal");
         }
         auto sent = co_await this->send(state, *placement);
         if (!sent) {
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -145,10 +145,13 @@
     // Closes idle connections to targets that the targets are about to close.
     void sweep(time_point now) { this->connections.sweep(now); }
 
+    // Begins the stop of this host: requests that come from now on are answered by `answer_by`, or
+    // refused at once if they would take longer. The process must not exit before.
+    void begin_stop(time_point answer_by) { this->answer_by = answer_by; }
+    bool is_stopping() const { return this->answer_by.has_value(); }
+
     // Open connections of callers; counted by the sessions.
     std::size_t callers{};
-    // Set by the program once the stop signal has arrived.
-    bool stopping{};
     gateway_metrics metrics;
     shell::event_log* events;
 
@@ -176,6 +179,8 @@
         // When the response is due, and when the latency objective of the route is missed.
         time_point deadline;
         time_point objective_deadline;
+        // Whether the response is due earlier than the caller wants it, since this host stops.
+        bool is_due_before_stop{};
         // 0 if the route has no affinity or the request names no object.
         dispatch::object_key object{};
         // Number of attempts, without those that could not reach their target.
@@ -324,6 +329,9 @@
     void log_leaving(const std::vector<dispatch::target_info>& changed);
     // Returns when the caller of a request that can't be placed should come back.
     duration return_time(const request_state& state, const dispatch::placement_error& failure);
+    // Returns the refusal of a request that can't be placed.
+    caller_response refuse_unplaced(const request_state& state,
+                                    const dispatch::placement_error& failure);
     void log_ejection_change(time_point now, const dispatch::target& target,
                              std::uint32_t failures_before, const send_result& result);
     dispatch::service_time_estimate& work_estimate_for(const std::string& route,
@@ -344,6 +352,8 @@
     // When a control host in contact with the others was heard last.
     std::optional<time_point> last_contact;
     std::function<void()> usage_handler;
+    // When the last responses are due; set once this host stops.
+    std::optional<time_point> answer_by;
     // The loads observed here, and the place up to which they were reported.
     dispatch::load_board loads;
     std::uint64_t reported_loads{};
--- a/bth/gateway/gateway_contact.cpp
+++ b/bth/gateway/gateway_contact.cpp
@@ -102,7 +102,7 @@
 {
     const auto self = shared_from_this();
     boost::asio::steady_timer timer{*this->context};
-    while (!this->stopping) {
+    while (!this->is_stopping()) {
         std::vector<dispatch::target_ptr> targets;
         for (const auto& id : this->contact.choose_probes(this->board.ids())) {
             if (auto target = this->board.find(id)) {
@@ -291,7 +291,7 @@
 {
     const auto self = shared_from_this();
     out.declined = decline_reason::unfit;
-    if (this->stopping || this->contact.is_cut_off()) {
+    if (this->is_stopping() || this->contact.is_cut_off()) {
         co_return;
     }
     if (this->is_barred(shell::monotonic_now(), handoff->fingerprint)) {
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -555,7 +555,7 @@
     }
     out.declined = decline_reason::unfit;
     const auto target = this->board.find(handoff.target);
-    if (!target || this->stopping || this->contact.is_cut_off()) {
+    if (!target || this->is_stopping() || this->contact.is_cut_off()) {
         return std::nullopt;
     }
     // The other host may be the first to know why the target accepts only few requests.
--- a/bth/gateway/stop_plan.h
+++ b/bth/gateway/stop_plan.h
@@ -14,6 +14,8 @@
     // New connections and requests are accepted until then, since callers may still use lookup
     // responses that name this host.
     duration accept_until{};
+    // The responses to requests that arrive after the signal are due then.
+    duration answer_by{};
     // The process exits then, even if requests are still in flight.
     duration exit_by{};
 };
@@ -33,11 +35,15 @@
     // The end of the grace time is reserved for requests in flight, and for the exit itself.
     constexpr std::chrono::milliseconds drain_time{2200};
     constexpr std::chrono::milliseconds exit_margin{300};
+    // From the deadline of a request to the moment at which its caller has the response: the target
+    // may answer at its deadline, and the response is written after it.
+    constexpr std::chrono::milliseconds response_margin{200};
     constexpr int max_lookup_age_in_ttls = 3;
     const duration lookup_expiry = look_up_ttl(max_ttl) * max_lookup_age_in_ttls;
     const duration latest_accept_until = std::max<duration>(grace - drain_time, duration{});
+    const duration exit_by = std::max<duration>(grace - exit_margin, duration{});
     return {std::min(lookup_expiry, latest_accept_until),
-            std::max<duration>(grace - exit_margin, duration{})};
+            std::max<duration>(exit_by - response_margin, duration{}), exit_by};
 }
 
 } // namespace bth::gateway
--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -128,6 +128,8 @@
         self.state = "ready"
         self.seconds = 0.005
         self.mode = "serve"
+        # Whether it answers 504 when the time that is left to a request is over.
+        self.ends_at_deadline = False
         # What follows the text of each answer.
         self.padding = b""
         self.leaving = False
@@ -208,6 +210,11 @@
         arrival.ran = True
         with self.lock:
             self.runs[number] = self.runs.get(number, 0) + 1
+        left = int(request.headers[PREFIX + "Deadline-Milliseconds"] or 0) / 1000
+        if self.ends_at_deadline and self.seconds > left:
+            time.sleep(left)
+            self.finish(request, arrival, 504, [*echo, (RECEIPT, "seal-" + number)])
+            return
         time.sleep(self.seconds)
         if self.CRASHING in request.path:
             request.close_connection = True
