Let the soak's callers keep their connections while entry hosts stop

Six callers keep their connections and have up to three requests in flight; stops get a SIGHUP and a second SIGTERM on the way. A request that reached a target and ends without an answer around a stop is a finding, unless something else befell the host or the links. The soak excused a stopping host from every check before.

--- a/process_tests/platform_fleet.py
+++ b/process_tests/platform_fleet.py
@@ -186,8 +186,12 @@
         for domain in self.entries:
             self.until(lambda: self.send(domain)[0] == 200, "a request is served")
 
+    def next_number(self):
+        """The id of the next request; callable from every thread."""
+        return f"{next(self.numbers):016x}"
+
     def send(self, domain, path="/read/a", method="GET", body=None, object_key="7", timeout=10, fields=None):
-        number = f"{next(self.numbers):016x}"
+        number = self.next_number()
         headers = {"Host": "shop.example", REQUEST_ID: number,
                    PREFIX + "Affinity-Key": object_key,
                    PREFIX + "Deadline-Milliseconds": "5000", **(self.fields if fields is None else fields)}
--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -23,6 +23,8 @@
   in touch, restarts included;
 - a customer that sends more than its allowance gets no more than the bound, from all hosts together, in touch or not;
 - a target that starts again cold gets no more than the bound in any second, from all hosts together, whatever befalls them;
+- a request that reached a target isn't cut by the stop of its entry host, whatever signals come meanwhile; its callers keep their
+  connections until the process is gone, and some have several requests in flight;
 - once the faults have ended, every host serves again, and every control host takes part in the group.
 """
 import argparse
@@ -41,6 +43,7 @@
 
 import harness
 import platform_fleet
+from kept_connection import KeptConnection, keep_calling
 from platform_fleet import DOMAINS, ROUTES, PlatformFleet
 from platform_standins import (
     CONTACT_S, LIMIT_WINDOW_S, PREFIX, RECEIPT, Target, configuration, limit_bound, most_in_a_window, most_within_limit)
@@ -265,6 +268,8 @@
         self.version = 1
         self.limited, self.chilled = [], []
         self.crashing_paths, self.cuts, self.outcomes = [], [], []
+        # When entry hosts were told to stop and had stopped, and the requests of callers who keep their connections.
+        self.stops, self.kept_requests = [], []
         # The keys of the customer whose key changes, each with when its withdrawal was acknowledged.
         self.keys, self.withdrawn = ["changing-key-0"], {}
 
@@ -279,6 +284,7 @@
         callers = [threading.Thread(target=self.call, args=(domain, number))
                    for domain in DOMAINS for number in range(3)]
         callers += [threading.Thread(target=self.call_with_old_keys, args=(domain,)) for domain in DOMAINS]
+        callers += [threading.Thread(target=self.keep_calling, args=(domain, depth)) for domain in DOMAINS for depth in (1, 3)]
         for each in callers:
             each.start()
         faults = [self.kill_entry, self.freeze_entry, self.stop_entry, self.kill_control,
@@ -307,6 +313,7 @@
         self.check_crashing_requests()
         self.check_cuts()
         self.check_customers()
+        self.check_stops()
 
     def guard(self, fault, length, pick):
         try:
@@ -352,8 +359,14 @@
 
     def stop_entry(self, length, pick):
         def act(domain):
-            self.fleet.entries[domain].signal(signal.SIGTERM)
-            self.fleet.entries[domain].wait_exit()
+            entry, begun = self.fleet.entries[domain], time.monotonic()
+            entry.signal(signal.SIGTERM)
+            for number in (signal.SIGHUP, signal.SIGTERM):
+                time.sleep(length * pick)
+                # The process may have ended meanwhile.
+                entry.signal(number)
+            entry.wait_exit()
+            self.stops.append((domain, begun, time.monotonic()))
             self.restart_entry(domain, length / 4)
         self.with_entry(pick, act)
 
@@ -581,6 +594,12 @@
             self.check_known(domain, path, begun, got[0])
             self.check_answer(pays, begun, *got)
 
+    def keep_calling(self, domain, depth):
+        requests = keep_calling(lambda: KeptConnection(self.fleet.listen(f"entry-{domain}", "callers")), self.fleet.next_number,
+                                random.Random(depth), self.ended.is_set, depth, most_pause=0.2,
+                                make_path=lambda chance: f"/read/{chance.randrange(20)}", fields=self.fleet.fields)
+        self.kept_requests += [(domain, each) for each in requests]
+
     def path_in_force(self, now):
         due = [version for at, version in list(self.acknowledged) if now - at > APPLY_SECONDS + SLACK]
         return f"/v{max(due)}/x" if due else "/read/x"
@@ -713,6 +732,20 @@
                 self.findings.append(f"{begun - self.begun:.1f}s {domain}, cut off from all targets, serves "
                                      f"{len(here) - failed} of {len(here)}, the others {others.count(True)} of {len(others)}")
 
+    def check_stops(self):
+        arrived = {each.number for target in self.fleet.targets for each in target.arrivals()}
+        lost = [(domain, each) for domain, each in self.kept_requests if each.status is None and each.number in arrived]
+        for domain, begun, ended in self.stops:
+            since = begun - CONTACT_S
+            faults = [each for each in self.disturbed[domain] if each[0] < ended and since < each[1]]
+            # The stop itself is one of them.
+            if len(faults) > 1 or self.was_disturbed("links", since, ended):
+                continue
+            cut = [each for each_domain, each in lost if each_domain == domain and begun <= each.sent <= ended]
+            if cut:
+                self.findings.append(f"{begun - self.begun:.1f}s the stop of {domain} cuts {len(cut)} requests that reached a target, "
+                                     f"the first sent {cut[0].sent - begun:.2f}s after the signal")
+
     def check_customers(self):
         arrivals = [each for target in self.fleet.targets for each in target.arrivals()]
         told = [each for each in arrivals if any(name == "authorization" or "-key" in value for name, value in each.headers)]
--- a/process_tests/platform_stop_test.py
+++ b/process_tests/platform_stop_test.py
@@ -18,19 +18,11 @@
 
 
 class PlatformStopTest(PlatformFleet):
-    def setUp(self):
-        super().setUp()
-        self.numbering = threading.Lock()
-
     def settings_of(self, domain, address, listen, **more):
         settings = super().settings_of(domain, address, listen, **more)
         settings["limits"].update(stop_grace_s=GRACE_S, look_up_ttl_s=LOOK_UP_TTL_S)
         return settings
 
-    def number(self):
-        with self.numbering:
-            return f"{next(self.numbers):016x}"
-
     def connect(self, domain="n1", **options):
         return KeptConnection(self.listen(f"entry-{domain}", "callers"), **options)
 
@@ -61,13 +53,13 @@
         for each in self.targets:
             each.seconds = 0.3
         connections = [self.connect() for _ in range(5)]
-        first = [each.send(self.number()) for each in connections]
+        first = [each.send(self.next_number()) for each in connections]
         self.until(lambda: all(each.number in self.arrivals() for each in first), "the requests are at targets")
         self.stop()
         # The last answers and the next requests are there in one turn of the event loop.
         self.entries["n1"].signal(signal.SIGSTOP)
         self.until(lambda: all(self.arrivals()[each.number].answered for each in first), "the targets have answered")
-        second = [each.send(self.number()) for each in connections]
+        second = [each.send(self.next_number()) for each in connections]
         time.sleep(0.1)
         self.entries["n1"].signal(signal.SIGCONT)
         self.receive_all(connections)
@@ -82,7 +74,7 @@
         results = []
 
         def call(row):
-            results.append(keep_calling(self.connect, self.number, random.Random(row), over.is_set, depth=2 + row % 2))
+            results.append(keep_calling(self.connect, self.next_number, random.Random(row), over.is_set, depth=2 + row % 2))
 
         callers = [threading.Thread(target=call, args=(row,)) for row in range(8)]
         for each in callers:
@@ -106,7 +98,7 @@
         for each in self.targets:
             each.seconds = 1.0
         connections = [self.connect() for _ in range(4)]
-        requests = [each.send(self.number()) for each in connections]
+        requests = [each.send(self.next_number()) for each in connections]
         self.until(lambda: all(each.number in self.arrivals() for each in requests), "the requests are at targets")
         self.stop()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGTERM):
@@ -140,7 +132,7 @@
         stopped = self.stop()
         time.sleep(max(0, stopped + TAKES_CALLERS_S - 0.1 - time.monotonic()))
         connections = [self.connect() for _ in range(3)]
-        late = [each.send(self.number(), deadline_ms=8000) for each in connections]
+        late = [each.send(self.next_number(), deadline_ms=8000) for each in connections]
         self.receive_all(connections)
         self.assert_none_lost(late)
         self.assertEqual([each for each in late if each.status == 503 and each.number in self.arrivals()], [])
@@ -157,7 +149,7 @@
             each.seconds = 0.3
             each.padding = b"x" * body_bytes
         connection = self.connect(receive_buffer=65536)
-        first = connection.send(self.number())
+        first = connection.send(self.next_number())
         self.until(lambda: first.number in self.arrivals(), "the request is at a target")
         self.stop()
         self.until(lambda: self.arrivals()[first.number].answered, "the target has answered")
@@ -165,7 +157,7 @@
         behind = []
         for _ in range(3):
             time.sleep(0.1)
-            behind.append(connection.send(self.number()))
+            behind.append(connection.send(self.next_number()))
         while connection.receive(10, most=16384):
             time.sleep(0.001)
         connection.close()
