Take a refusal without an id for that of the request only on a new connection

A refusal without a request id counted as the answer to whatever request was there, so that a caller was told 'not run, come back' for a request that the target had run or was running, and a payment that came back ran twice; a repeatable request was sent to a second target.

Behind another request on its connection, an answer without an id now belongs to no request: the one with the id is awaited, and without one the request may have run. A request without an id gets a connection of its own, which isn't kept. The stand-in's 421 has the id now, as the users' pages say of all answers.

faulty_target.refusal_written_once_more_is_not_taken_for_that_of_the_next_request (503, 429, 421, 400, 408), request_behind_a_refusal_written_once_more_may_have_run and request_without_id_has_a_connection_of_its_own failed before; they pass.

--- /dev/null
+++ b/bth/gateway/faulty_target_test.cpp
@@ -0,0 +1,187 @@
+// Targets whose answers are cut, or that answer a request once more.
+#include "bth/gateway/target_send.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace bth::gateway;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using bth::dispatch::send_outcome;
+
+enum class connection_end : std::uint8_t { close, reset };
+
+// Answers each request on a connection with the next of `answers`, then ends the connection.
+struct scripted_target {
+    scripted_target(asio::io_context& context, std::vector<std::string> given_answers,
+                    connection_end given_end)
+        : acceptor{context, tcp::endpoint{asio::ip::address_v4::loopback(), 0}},
+          answers{std::move(given_answers)}, end{given_end}
+    {}
+
+    tcp::acceptor acceptor;
+    std::vector<std::string> answers;
+    connection_end end;
+    std::size_t connections{};
+};
+
+asio::awaitable<void> answer_all(std::shared_ptr<scripted_target> target, tcp::socket socket)
+{
+    std::array<char, 4096> request{};
+    boost::system::error_code error;
+    for (const auto& answer : target->answers) {
+        co_await socket.async_read_some(asio::buffer(request),
+                                        asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return;
+        }
+        co_await asio::async_write(socket, asio::buffer(answer),
+                                   asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (target->end == connection_end::reset) {
+        socket.set_option(asio::socket_base::linger{true, 0}, error);
+        // The destructor of the socket would take the option back.
+        socket.close(error);
+    }
+}
+
+asio::awaitable<void> accept_all(std::shared_ptr<scripted_target> target)
+{
+    while (true) {
+        boost::system::error_code error;
+        auto socket = co_await target->acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return;
+        }
+        ++target->connections;
+        asio::co_spawn(target->acceptor.get_executor(), answer_all(target, std::move(socket)),
+                       asio::detached);
+    }
+}
+
+struct attempts {
+    std::vector<send_result> results;
+    std::size_t connections{};
+};
+
+// Sends a request for each of `ids`, one after the other, each with a deadline of 300 ms.
+attempts send_in_turn(const std::vector<std::string>& ids, std::vector<std::string> answers,
+                      connection_end end = connection_end::close)
+{
+    asio::io_context context;
+    const auto target = std::make_shared<scripted_target>(context, std::move(answers), end);
+    asio::co_spawn(context, accept_all(target), asio::detached);
+    target_connection_pool pool;
+    field_names names;
+    names.request_id = "X-Id";
+    names.receipt = "X-Receipt";
+    names.not_run = "X-Not-Run";
+    names.load = "X-Load";
+    names.leaving = "X-Leaving";
+    names.limit = "X-Limit";
+    attempts out;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            for (const auto& id : ids) {
+                const auto control = std::make_shared<send_control>();
+                asio::steady_timer deadline{context, 300ms};
+                deadline.async_wait([control](const boost::system::error_code& error) {
+                    if (!error) {
+                        control->deadline_passed = true;
+                        control->abort();
+                    }
+                });
+                const std::string id_line = id.empty() ? "" : "X-Id: " + id + "\r\n";
+                target_request request{
+                    "t",   {{0x7f000001}, target->acceptor.local_endpoint().port()},
+                    id,    "GET / HTTP/1.1\r\n" + id_line + "\r\n",
+                    false, 1s,
+                    1s,    &names,
+                    {}};
+                out.results.push_back(co_await send_to_target(pool, control, std::move(request)));
+                deadline.cancel();
+            }
+            target->acceptor.close();
+        },
+        asio::detached);
+    context.run();
+    out.connections = target->connections;
+    return out;
+}
+
+std::string answer_to(const std::string& id, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+           "\r\nX-Receipt: r\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string refusal_without_id =
+    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(faulty_target) {};
+// clang-format on
+
+TEST(faulty_target, refusal_written_once_more_is_not_taken_for_that_of_the_next_request)
+{
+    for (const std::string status : {"503 Full", "429 Many", "421 Other", "400 Bad", "408 Late"}) {
+        const auto again = "HTTP/1.1 " + status + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        const auto seen = send_in_turn({"1", "2"}, {again, again + answer_to("2", "two")});
+        LONGS_EQUAL(1, seen.connections);
+        LONGS_EQUAL(2, seen.results.size());
+        const auto& second = seen.results.back();
+        CHECK_TRUE(second.outcome == send_outcome::answered);
+        CHECK_TRUE(second.may_have_run);
+        STRCMP_EQUAL("two", second.response->body.c_str());
+    }
+}
+
+TEST(faulty_target, request_behind_a_refusal_written_once_more_may_have_run)
+{
+    const auto seen = send_in_turn({"1", "2"}, {answer_to("1", "one"), refusal_without_id});
+    LONGS_EQUAL(1, seen.connections);
+    const auto& second = seen.results.back();
+    CHECK_TRUE(second.outcome == send_outcome::broken);
+    CHECK_TRUE(second.may_have_run);
+    CHECK_FALSE(second.response.has_value());
+}
+
+// Nothing but the connection tells whose answer it is.
+TEST(faulty_target, request_without_id_has_a_connection_of_its_own)
+{
+    const auto seen =
+        send_in_turn({"1", "", "", "4"}, {answer_to("1", "one"), answer_to("4", "four")});
+    LONGS_EQUAL(3, seen.connections);
+    CHECK_TRUE(seen.results.back().outcome == send_outcome::answered);
+    STRCMP_EQUAL("four", seen.results.back().response->body.c_str());
+}
+
+TEST(faulty_target, refusal_without_id_counts_on_a_new_connection)
+{
+    const auto seen = send_in_turn({"1"}, {refusal_without_id});
+    CHECK_TRUE(seen.results.front().outcome == send_outcome::shed);
+    CHECK_FALSE(seen.results.front().may_have_run);
+}
--- a/bth/gateway/target_pool.cpp
+++ b/bth/gateway/target_pool.cpp
@@ -44,7 +44,6 @@
         connections->second.pop_back();
         if (is_safe_to_reuse(*last, now) && now - last->idle_since < max_idle_time &&
             is_open_and_silent(*last)) {
-            last->reused = true;
             return last;
         }
     }
--- a/bth/gateway/target_pool.h
+++ b/bth/gateway/target_pool.h
@@ -33,8 +33,8 @@
     // How long the target keeps the connection open while it is idle.
     duration idle_timeout{};
     time_point idle_since;
-    // The connection has been returned by acquire().
-    bool reused{};
+    // A request was written on it, so that answers to that one may come once more.
+    bool is_used{};
 };
 
 // Returns whether the target has neither closed the connection nor sent bytes on it.
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -113,11 +113,17 @@
 }
 
 // Returns whether a response belongs to the request. A refusal to run the request may lack the
-// request id; any response without an id except 2xx counts as one.
-bool matches_request(const target_response& response, const target_request& request)
+// request id; any response without an id except 2xx counts as one, but only to the first request on
+// a connection: behind others, a faulty target may have written an earlier refusal once more.
+bool matches_request(const target_response& response, const target_request& request,
+                     bool is_first_on_connection)
 {
     const auto id = view(response[request.header_names->request_id]);
-    return id == request.request_id || (id.empty() && response.result_int() / 100 != 2);
+    if (id.empty()) {
+        return is_first_on_connection &&
+               (request.request_id.empty() || response.result_int() / 100 != 2);
+    }
+    return id == request.request_id;
 }
 
 bool states_not_run(const target_response& response, const field_names& names)
@@ -216,6 +222,7 @@
 read_response(target_connection& connection, const target_request& request, response_budget& budget,
               bool& reusable, partial_response& partial)
 {
+    const bool is_first = !std::exchange(connection.is_used, true);
     for (int stale_responses = 0; stale_responses <= max_stale_responses; ++stale_responses) {
         http::response_parser<http::string_body> parser;
         parser.skip(request.is_head);
@@ -224,14 +231,14 @@
         if (error) {
             partial.is_too_long = is_length_error(error);
             partial.is_connection_lost = is_connection_error(error);
-            if (parser.is_header_done() && matches_request(parser.get(), request)) {
+            if (parser.is_header_done() && matches_request(parser.get(), request, is_first)) {
                 partial.signals = signals_of(parser.get(), *request.header_names);
             }
             co_return std::nullopt;
         }
         reusable = reusable && parser.keep_alive() && !parser.need_eof();
         auto response = parser.release();
-        if (matches_request(response, request)) {
+        if (matches_request(response, request, is_first)) {
             reusable = reusable && connection.buffer.size() == 0;
             co_return response;
         }
@@ -271,8 +278,11 @@
                                             target_request request)
 {
     std::optional<duration> connect_time;
-    auto connection =
-        pool.acquire(request.target_id, shell::monotonic_now(), request.max_idle_time);
+    std::unique_ptr<target_connection> connection;
+    // Without an id, only a connection of its own tells which response belongs to the request.
+    if (!request.request_id.empty()) {
+        connection = pool.acquire(request.target_id, shell::monotonic_now(), request.max_idle_time);
+    }
     if (!connection) {
         connection = std::make_unique<target_connection>(co_await asio::this_coro::executor);
         set_close_handler(*control, *connection);
@@ -311,7 +321,7 @@
         result.connect_time = connect_time;
         co_return result;
     }
-    bool reusable = true;
+    bool reusable = !request.request_id.empty();
     partial_response partial;
     auto response =
         co_await read_response(*connection, request, pool.responses(), reusable, partial);
--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -196,7 +196,7 @@
         echo = [(REQUEST_ID, number), (PREFIX + "Server-Load", "1,0,3")]
         if request.headers[PREFIX + "Expected-Instance"] != self.name:
             arrival.misdirected = True
-            self.finish(request, arrival, 421, [(PREFIX + "Instance-Id", self.name)])
+            self.finish(request, arrival, 421, [(REQUEST_ID, number), (PREFIX + "Instance-Id", self.name)])
             return
         rest = self.rest
         if rest is not None:
