Show by tests that an answer that is cut at any byte is no answer

Reported by other operators of similar systems: a target stopped in the middle of its answer's head, and callers got a 200 with an empty or short body, framed as whole. A body without a length that ends by a close is whole, as HTTP says.

--- a/bth/gateway/faulty_target_test.cpp
+++ b/bth/gateway/faulty_target_test.cpp
@@ -185,3 +185,40 @@
     CHECK_TRUE(seen.results.front().outcome == send_outcome::shed);
     CHECK_FALSE(seen.results.front().may_have_run);
 }
+
+TEST(faulty_target, answer_cut_at_any_byte_is_no_answer)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Receipt: r\r\n";
+    const std::vector<std::string> wholes{
+        answer_to("1", "body"),
+        head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        head + "Connection: close\r\nContent-Length: 0\r\n\r\n",
+    };
+    for (const auto& whole : wholes) {
+        for (const auto end : {connection_end::close, connection_end::reset}) {
+            for (std::size_t size = 0; size < whole.size(); ++size) {
+                const auto seen = send_in_turn({"1"}, {whole.substr(0, size)}, end);
+                const auto& result = seen.results.front();
+                CHECK_TRUE(result.outcome == send_outcome::broken);
+                CHECK_TRUE(result.may_have_run);
+                CHECK_FALSE(result.response.has_value());
+            }
+        }
+        CHECK_TRUE(send_in_turn({"1"}, {whole}).results.front().outcome == send_outcome::answered);
+    }
+}
+
+// The body ends with the connection, so that only a cut head or a reset shows.
+TEST(faulty_target, answer_without_length_is_no_answer_if_its_head_is_cut_or_its_end_is_a_reset)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Receipt: r\r\n\r\n";
+    const std::string whole = head + "body";
+    for (std::size_t size = 0; size <= whole.size(); ++size) {
+        const auto reset = send_in_turn({"1"}, {whole.substr(0, size)}, connection_end::reset);
+        CHECK_TRUE(reset.results.front().outcome == send_outcome::broken);
+        const auto closed = send_in_turn({"1"}, {whole.substr(0, size)});
+        const bool has_head = size >= head.size();
+        CHECK_TRUE(closed.results.front().outcome ==
+                   (has_head ? send_outcome::answered : send_outcome::broken));
+    }
+}
