Don't let a stop end the reading of a connection whose last answer doesn't say so

Found in review: when the time for callers ended while a long answer was being written that had begun before the signal, nothing closed the connection after it, and the caller's next request was read and never answered (1.65 s until the exit, measured). The session is now left alone while its only response is being written, and ended by the next call.

process_platform_stop.connection_whose_answer_outlasts_the_time_for_callers_is_not_left_without_an_end failed before; it passes twice at once.

--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -85,6 +85,10 @@
         this->abort_connection(connection_end::idle);
         return;
     }
+    if (this->writing && this->queue.size() == 1) {
+        // The response that is being written may not have announced the close.
+        return;
+    }
     this->read_closed = true;
 }
 
--- a/bth/gateway/caller_session.h
+++ b/bth/gateway/caller_session.h
@@ -38,8 +38,8 @@
 
     void start();
     // Serves no request but those that were read already: the response to the last of them closes
-    // the connection. Without any, the connection is closed. A request that is being read is left
-    // alone; call again to end the connection after it.
+    // the connection. Without any, the connection is closed. A request that is being read, or a
+    // last response that is being written, is left alone; call again to end the connection then.
     void finish();
     // Closes the connection, whatever is in flight, since the process exits.
     void cut() { this->abort_connection(connection_end::exit); }
--- a/process_tests/platform_stop_test.py
+++ b/process_tests/platform_stop_test.py
@@ -165,6 +165,33 @@
         self.assert_none_lost(behind)
         self.assert_exits()
 
+    def test_connection_whose_answer_outlasts_the_time_for_callers_is_not_left_without_an_end(self):
+        for each in self.targets:
+            each.padding = b"x" * 12_000_000
+        connection = self.connect(receive_buffer=65536)
+        first = connection.send(self.next_number())
+        self.until(lambda: first.number in self.arrivals() and self.arrivals()[first.number].answered, "the target has answered")
+        # The answer is on its way before the signal, so that it doesn't say that the connection closes.
+        time.sleep(0.5)
+        stopped = self.stop()
+        time.sleep(max(0, stopped + TAKES_CALLERS_S + 0.3 - time.monotonic()))
+        while first.status is None and connection.receive(10):
+            pass
+        self.assertEqual(first.status, 200)
+        got_first = time.monotonic()
+        if not connection.is_closing:
+            try:
+                second = connection.send(self.next_number())
+            except OSError:
+                second = None
+            while connection.receive(10) and (second is None or second.status is None):
+                pass
+            waited = time.monotonic() - got_first
+            self.assertTrue((second is not None and second.status is not None) or waited < 0.5,
+                            f"read, not answered, closed {waited:.2f}s after it was sent, {time.monotonic() - stopped:.2f}s after the signal")
+        connection.close()
+        self.assert_exits()
+
 
 if __name__ == "__main__":
     harness.main()
