Notice a caller that leaves after its connection was told to end

Found in review: once a stopping host served no further request of a connection, the end of the input was reported to the reading of a request and then awaited once more, where it isn't reported again. The request of a caller that had left ran on at its target, and the session stayed. The end of the input now ends the connection wherever it is seen; with that, requests of callers that leave count no longer as cut.

process_platform_stop.caller_that_leaves_late_in_a_stop_ends_its_request failed before (status 200 after 1.5 s, the caller had left after 0.9 s); it passes, twice at once.

--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -95,8 +95,7 @@
 // Logs the requests that end without a complete response although their caller waits for it.
 void caller_session::report_cut_requests(connection_end why)
 {
-    // A caller that was told that the connection closes expects no further response.
-    if (why == connection_end::caller_gone && !this->read_closed) {
+    if (why == connection_end::caller_gone) {
         return;
     }
     for (const auto& pipelined : this->queue) {
@@ -175,6 +174,14 @@
     if (this->closed) {
         co_return false;
     }
+    // Beast reports malformed input and exceeded limits as errors of its own category.
+    const bool has_ended =
+        error && (error == http::error::end_of_stream || error == http::error::partial_message ||
+                  error.category() != make_error_code(http::error::bad_method).category());
+    if (has_ended) {
+        this->abort_connection(connection_end::caller_gone);
+        co_return false;
+    }
     if (this->read_closed) {
         // To the caller, a request behind the last response is unread, so it isn't served. That
         // response may still be on its way, so the connection isn't closed either.
@@ -190,15 +197,8 @@
                                   "request_too_large");
         co_return false;
     }
-    const bool malformed =
-        error.category() == make_error_code(http::error::bad_method).category() &&
-        error != http::error::end_of_stream && error != http::error::partial_message;
-    if (error && malformed) {
-        this->send_error_response(static_cast<unsigned>(http::status::bad_request), "bad_request");
-        co_return false;
-    }
     if (error) {
-        this->abort_connection(connection_end::caller_gone);
+        this->send_error_response(static_cast<unsigned>(http::status::bad_request), "bad_request");
         co_return false;
     }
     this->last_activity = shell::monotonic_now();
--- a/process_tests/platform_stop_test.py
+++ b/process_tests/platform_stop_test.py
@@ -192,6 +192,22 @@
         connection.close()
         self.assert_exits()
 
+    def test_caller_that_leaves_late_in_a_stop_ends_its_request(self):
+        for each in self.targets:
+            each.seconds = 2.0
+        stopped = self.stop()
+        time.sleep(max(0, stopped + TAKES_CALLERS_S - 0.5 - time.monotonic()))
+        connection = self.connect()
+        request = connection.send(self.next_number())
+        time.sleep(0.9)
+        connection.close()
+        self.assert_exits()
+        lines = [line for line in self.lines(self.entries["n1"]) if request.number.encode() in line]
+        with self.subTest("the request ends"):
+            self.assertTrue(any(b"ended_by=caller_gone" in line for line in lines), lines)
+        with self.subTest("it isn't told as cut"):
+            self.assertEqual([line for line in lines if b"event=request_cut" in line], [])
+
 
 if __name__ == "__main__":
     harness.main()
