Write 100 Continue only between two answers

Found in review: a request with 'Expect: 100-continue' behind another one on its connection got its 100 Continue while the answer before was being written, in the middle of its body; the caller saw a 200 of the right length with other bytes. The interim answer now waits until all earlier ones are written.

process_platform_stop.100_continue_is_not_written_into_another_answer failed before; it passes, twice at once.

--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -135,10 +135,7 @@
     bool keep_reading = true;
     while (keep_reading && !this->closed && !this->read_closed) {
         if (this->queue.size() >= max_pipelined_requests) {
-            boost::system::error_code ignored;
-            this->capacity_signal.expires_at(std::chrono::steady_clock::time_point::max());
-            co_await this->capacity_signal.async_wait(
-                asio::redirect_error(asio::use_awaitable, ignored));
+            co_await this->await_capacity();
             continue;
         }
         keep_reading = co_await this->read_request();
@@ -148,6 +145,14 @@
     }
 }
 
+// Waits until a response has been written or the connection is closed.
+asio::awaitable<void> caller_session::await_capacity()
+{
+    boost::system::error_code ignored;
+    this->capacity_signal.expires_at(std::chrono::steady_clock::time_point::max());
+    co_await this->capacity_signal.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 // Reads one request and starts to serve it. Returns false if no further request can be read.
 asio::awaitable<bool> caller_session::read_request()
 {
@@ -161,7 +166,12 @@
     co_await http::async_read_header(this->socket, this->buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     this->reading_request = true;
-    if (!error && !this->read_closed && parser.get()[http::field::expect] == "100-continue") {
+    const bool expects_continue = !error && parser.get()[http::field::expect] == "100-continue";
+    while (expects_continue && !this->queue.empty() && !this->closed && !this->read_closed) {
+        // Written now, it could end up inside an earlier response.
+        co_await this->await_capacity();
+    }
+    if (expects_continue && !this->closed && !this->read_closed) {
         static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(this->socket, asio::buffer(continue_response),
                                    asio::redirect_error(asio::use_awaitable, error));
--- a/bth/gateway/caller_session.h
+++ b/bth/gateway/caller_session.h
@@ -55,6 +55,7 @@
     };
 
     boost::asio::awaitable<void> read_requests();
+    boost::asio::awaitable<void> await_capacity();
     boost::asio::awaitable<bool> read_request();
     boost::asio::awaitable<bool> wait_for_disconnect();
     boost::asio::awaitable<void> serve(std::shared_ptr<pipelined_request> pipelined);
--- a/process_tests/platform_stop_test.py
+++ b/process_tests/platform_stop_test.py
@@ -208,6 +208,23 @@
         with self.subTest("it isn't told as cut"):
             self.assertEqual([line for line in lines if b"event=request_cut" in line], [])
 
+    def test_100_continue_is_not_written_into_another_answer(self):
+        for each in self.targets:
+            each.padding = b"x" * 12_000_000
+        connection = self.connect(receive_buffer=65536)
+        first = connection.send(self.next_number())
+        self.until(lambda: first.number in self.arrivals() and self.arrivals()[first.number].answered, "the target has answered")
+        time.sleep(0.5)
+        connection.socket.sendall(b"POST /read/a HTTP/1.1\r\nHost: shop.example\r\nExpect: 100-continue\r\n"
+                                  b"Content-Length: 3\r\n\r\n")
+        time.sleep(0.3)
+        got = b""
+        while len(got) < 12_000_000:
+            got += connection.socket.recv(262144)
+        connection.close()
+        body = got[got.index(b"\r\n\r\n") + 4:][:12_000_000]
+        self.assertNotIn(b"100 Continue", body)
+
 
 if __name__ == "__main__":
     harness.main()
