--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -359,6 +359,15 @@
     return live ? live->queued_bytes() : 0;
 }
 
+std::size_t peer_link::total_queued_bytes() const
+{
+    std::size_t total = 0;
+    for (const auto& [name, row] : this->self->rows) {
+        total += row->live ? row->live->queued_bytes() : 0;
+    }
+    return total;
+}
+
 void peer_link::stop()
 {
     if (std::exchange(this->self->stopped, true)) {
--- a/bth/shell/peer_link.h
+++ b/bth/shell/peer_link.h
@@ -83,6 +83,8 @@
     incarnation life() const;
     // The bytes that wait to be written to a peer; 0 if it isn't connected.
     std::size_t queued_bytes(std::string_view name) const;
+    // Returns the bytes that wait to be written to all peers.
+    std::size_t total_queued_bytes() const;
 
     // Closes everything; no handler is called afterwards.
     void stop();
