Let a bth-entry exit only when its links have written what is queued

It now exits at the second tick that finds nothing in flight and nothing queued. No test shows the loss here; the process tests of bth-entry pass.

--- a/bth/entry/entry_process.cpp
+++ b/bth/entry/entry_process.cpp
@@ -309,7 +309,11 @@
 
 void entry_process::stop_if_drained()
 {
-    if (!this->driver.is_stopping() || !this->driver.may_exit()) {
+    const bool is_drained = this->driver.is_stopping() && this->driver.may_exit() &&
+                            this->link->total_queued_bytes() == 0;
+    // The end of an answer for another host is queued on the link when its request ends, and
+    // written until the next tick.
+    if (!std::exchange(this->was_drained, is_drained) || !is_drained) {
         return;
     }
     this->callers->stop();
--- a/bth/entry/entry_process.h
+++ b/bth/entry/entry_process.h
@@ -72,6 +72,8 @@
     // Null if the configuration comes from a text file.
     std::unique_ptr<configuration_source> distributed_configuration;
     boost::asio::steady_timer tick_timer;
+    // Whether the last tick found nothing in flight while stopping.
+    bool was_drained{};
     log4cplus::Logger log{log4cplus::Logger::getInstance("entry")};
 };
 
