Read on behind a malformed request until the caller closes

Found in review: behind malformed or too long input nothing read the connection any more, so that it was closed with unread input a second after the refusal was written, and the reset destroyed what was still on its way: the refusal, and answers before it. A caller that left wasn't noticed either. The input is discarded now, as behind every last answer.

process_platform_stop.input_behind_a_malformed_request_ends_no_answer failed before (neither the 200 nor the 400 arrived); it passes, twice at once.

--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -200,16 +200,16 @@
     if (error == http::error::header_limit) {
         this->send_error_response(
             static_cast<unsigned>(http::status::request_header_fields_too_large), "header_limit");
-        co_return false;
+        co_return co_await this->wait_for_disconnect();
     }
     if (error == http::error::body_limit) {
         this->send_error_response(static_cast<unsigned>(http::status::payload_too_large),
                                   "request_too_large");
-        co_return false;
+        co_return co_await this->wait_for_disconnect();
     }
     if (error) {
         this->send_error_response(static_cast<unsigned>(http::status::bad_request), "bad_request");
-        co_return false;
+        co_return co_await this->wait_for_disconnect();
     }
     this->last_activity = shell::monotonic_now();
     auto pipelined = std::make_shared<pipelined_request>();
--- a/process_tests/platform_stop_test.py
+++ b/process_tests/platform_stop_test.py
@@ -7,7 +7,7 @@
 import time
 
 import harness
-from kept_connection import KeptConnection, keep_calling
+from kept_connection import KeptConnection, KeptRequest, keep_calling
 from platform_fleet import ROUTES, PlatformFleet
 from platform_standins import configuration
 
@@ -225,6 +225,22 @@
         body = got[got.index(b"\r\n\r\n") + 4:][:12_000_000]
         self.assertNotIn(b"100 Continue", body)
 
+    def test_input_behind_a_malformed_request_ends_no_answer(self):
+        for each in self.targets:
+            each.padding = b"x" * 1_000_000
+        connection = self.connect(receive_buffer=65536)
+        first = connection.send(self.next_number())
+        self.until(lambda: first.number in self.arrivals() and self.arrivals()[first.number].answered, "the target has answered")
+        connection.socket.sendall(b"no request\r\n\r\n" + b"y" * 10_000)
+        refused = KeptRequest("", time.monotonic())
+        connection.waiting.append(refused)
+        # The caller reads nothing until the host has waited for the end of the connection.
+        time.sleep(1.5)
+        while connection.receive(10):
+            pass
+        connection.close()
+        self.assertEqual((first.status, refused.status), (200, 400))
+
 
 if __name__ == "__main__":
     harness.main()
