--- a/process_tests/kept_connection.py
+++ b/process_tests/kept_connection.py
@@ -17,7 +17,7 @@
 
 @dataclasses.dataclass
 class KeptRequest:
-    """Times are monotonic; `status` stays empty if the connection ends before the whole answer."""
+    """Times are monotonic; `status` stays empty if the connection ends before the whole answer, and `ended` tells when."""
 
     number: str
     sent: float
@@ -60,6 +60,9 @@
         self.got += part
         while self.waiting and self.take_answer():
             pass
+        if not part:
+            for each in self.waiting:
+                each.ended = time.monotonic()
         return bool(part)
 
     def take_answer(self):
@@ -105,9 +108,11 @@
                 try:
                     connection.send(next_number(), make_path(chance), fields=fields)
                 except OSError:
-                    requests += connection.waiting
+                    for each in connection.waiting:
+                        each.ended = time.monotonic()
                     break
-                requests.append(connection.waiting[-1])
+                finally:
+                    requests.append(connection.waiting[-1])
             pause = min(0.05, max(0.0, next_at - time.monotonic())) if may_send else 0.05
             if not connection.receive(pause):
                 break
--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -33,6 +33,7 @@
 import math
 import os
 import random
+import re
 import signal
 import socket
 import struct
@@ -247,6 +248,7 @@
         self.fields = key_fields("usual-key")
         play = Play(self, random.Random(seed))
         play.run()
+        print(f"seed {seed}: {play.judged_stops} of {len(play.stops)} stops judged, {len(play.kept_requests)} requests on kept connections")
         self.assertEqual(play.findings, [], f"seed {seed}; faults: {play.told}")
 
 
@@ -269,7 +271,7 @@
         self.limited, self.chilled = [], []
         self.crashing_paths, self.cuts, self.outcomes = [], [], []
         # When entry hosts were told to stop and had stopped, and the requests of callers who keep their connections.
-        self.stops, self.kept_requests = [], []
+        self.stops, self.kept_requests, self.judged_stops = [], [], 0
         # The keys of the customer whose key changes, each with when its withdrawal was acknowledged.
         self.keys, self.withdrawn = ["changing-key-0"], {}
 
@@ -733,6 +735,8 @@
                                      f"{len(here) - failed} of {len(here)}, the others {others.count(True)} of {len(others)}")
 
     def check_stops(self):
+        if not any(each.status for _, each in self.kept_requests):
+            self.findings.append("no caller that keeps its connection got an answer")
         arrived = {each.number for target in self.fleet.targets for each in target.arrivals()}
         lost = [(domain, each) for domain, each in self.kept_requests if each.status is None and each.number in arrived]
         for domain, begun, ended in self.stops:
@@ -741,7 +745,8 @@
             # The stop itself is one of them.
             if len(faults) > 1 or self.was_disturbed("links", since, ended):
                 continue
-            cut = [each for each_domain, each in lost if each_domain == domain and begun <= each.sent <= ended]
+            cut = [each for each_domain, each in lost if each_domain == domain and begun <= each.ended <= ended + SLACK]
+            self.judged_stops += 1
             if cut:
                 self.findings.append(f"{begun - self.begun:.1f}s the stop of {domain} cuts {len(cut)} requests that reached a target, "
                                      f"the first sent {cut[0].sent - begun:.2f}s after the signal")
@@ -814,6 +819,7 @@
                 if done.returncode != 0:
                     failed.append(seed)
                     print(done.stderr[-3000:], flush=True)
+                print(*re.findall(r"seed .* judged.*", done.stdout), flush=True)
 
     workers = [threading.Thread(target=work) for _ in range(given.jobs)]
     for each in workers:
