Take a host's part of a customer's allowance from demand no newer than the sums

Cause: while control hosts told no sums, an entry host went on dividing its newest demand by the last sum that it was told: for a second after the last word, then with that value as long as it heard nothing, and again from the first word of control hosts that had just started and didn't know the sums yet. If demand had grown since the last sum, the parts of all hosts added up to more than the allowance.

--- a/bth/dispatch/allowance.cpp
+++ b/bth/dispatch/allowance.cpp
@@ -84,6 +84,9 @@
 
 double allowance_table::known_offered(time_point now, const row& entry) const
 {
+    if (!this->last_sums || now - *this->last_sums > sums_validity) {
+        return entry.offered_in_demand;
+    }
     const auto known =
         std::find_if(entry.reported.rbegin(), entry.reported.rend(),
                      [now](const auto& each) { return now - each.at >= settling_time; });
@@ -190,6 +193,7 @@
         const double offered = entry.offered.value(now);
         if (offered < min_reported_rate) {
             entry.reported.clear();
+            entry.offered_in_demand = 0;
             continue;
         }
         out.push_back(
@@ -212,7 +216,9 @@
     if (!pressures) {
         return;
     }
+    this->last_sums = now;
     for (auto& [customer, entry] : this->rows) {
+        entry.offered_in_demand = this->known_offered(now, entry);
         entry.demand = min_told_demand;
         entry.usable = 1;
     }
--- a/bth/dispatch/allowance.h
+++ b/bth/dispatch/allowance.h
@@ -109,6 +109,9 @@
     // This host is out of contact after that time without a word of a control host, of which two
     // are missing then.
     static constexpr std::chrono::seconds contact_validity{1};
+    // The sums of the control hosts are out of date after that time without word of them, of which
+    // one is missing then.
+    static constexpr std::chrono::milliseconds sums_validity{500};
 
     explicit allowance_table(allowance_terms terms) : terms{terms} {}
 
@@ -156,6 +159,8 @@
         // Nothing until the bucket is first used.
         std::optional<time_point> refilled_at;
         std::deque<reported_rate> reported;
+        // What the control hosts knew of the demand at this host when they told `demand`.
+        double offered_in_demand{};
         float demand{min_told_demand};
         float usable{1};
     };
@@ -164,7 +169,9 @@
     {
         return this->last_contact && now - *this->last_contact <= contact_validity;
     }
-    // Returns the demand at this host as the control hosts know it.
+    // Returns the demand at this host as the control hosts know it. While they tell no sums, this
+    // is what they knew when they last did: newer demand here, as a part of older sums, would let
+    // all hosts together refill at more than the limit.
     double known_offered(time_point now, const row& entry) const;
     double refill_rate(time_point now, customer_key customer, const row& entry) const;
     // Returns how many hosts may hold tokens of a customer without recent demand. What they hold
@@ -181,6 +188,8 @@
     std::uint32_t rank{};
     std::map<customer_key, row> rows;
     std::optional<time_point> last_contact;
+    // The last word that held sums.
+    std::optional<time_point> last_sums;
 };
 
 } // namespace bth::dispatch
--- a/bth/dispatch/allowance_replay_test.cpp
+++ b/bth/dispatch/allowance_replay_test.cpp
@@ -53,10 +53,11 @@
     std::function<bool(std::size_t host, duration since_start)> reaches;
     // When a host loses all it knows.
     std::function<bool(std::size_t host, duration since_start)> restarts;
-    // When all control hosts start anew.
-    std::function<bool(duration since_start)> control_restarts{[](duration) {
-        return false;
-    }};
+    // When a control host starts anew.
+    std::function<bool(std::size_t control_host, duration since_start)> control_restarts{
+        [](std::size_t, duration) {
+            return false;
+        }};
     // How many times as fast as usual each caller sends.
     std::function<double(duration since_start)> haste{[](duration) {
         return 1.0;
@@ -155,7 +156,7 @@
             }
         }
         for (std::size_t i = 0; i < control_hosts; ++i) {
-            if (this->played.control_restarts(at)) {
+            if (this->played.control_restarts(i, at)) {
                 this->ledgers.at(i) = demand_ledger{terms};
                 this->ledgers.at(i).set_limits({{customer, this->played.rate, this->played.burst}});
             }
@@ -414,7 +415,7 @@
     played.reaches = [](std::size_t, duration at) {
         return at < 7s || at > 9s;
     };
-    played.control_restarts = [](duration at) {
+    played.control_restarts = [](std::size_t, duration at) {
         return at == 9s;
     };
     const auto out = play("demand grows while control hosts restart", played);
@@ -422,6 +423,31 @@
     CHECK_TRUE(out.served_share >= 0.6);
 }
 
+// A customer starts to send three times its limit, and all control hosts end before its demand has
+// reached their sums in full; it doubles while they are away. They come back one after the other.
+TEST(allowance_replay, control_hosts_that_end_while_demand_grows_leave_the_bound_intact)
+{
+    for (auto until_end = 300ms; until_end <= 3000ms; until_end += 100ms) {
+        const duration end = 8s + until_end;
+        load played{3, 15, 15, 25s, {}, {}, {}, {}};
+        played.demand = [end](duration at) {
+            if (at < 8s) {
+                return 3.0;
+            }
+            return at >= end + 1200ms && at < end + 5s ? 90.0 : 45.0;
+        };
+        played.reaches = [end](std::size_t host, duration at) {
+            return at < end || at >= end + 1900ms + 300ms * static_cast<long>(host);
+        };
+        played.control_restarts = [end](std::size_t control_host, duration at) {
+            return at == end + 1900ms + 300ms * static_cast<long>(control_host);
+        };
+        const auto out = play("control hosts end while demand grows", played);
+        CHECK_TRUE(out.worst_window <= 1);
+        CHECK_TRUE(out.served_share >= 0.6);
+    }
+}
+
 TEST(allowance_replay, hosts_that_restart_in_turn_stay_within_the_bound)
 {
     load played{60, 100, 100, 30s, constant(250), {}, {}, {}};
