--- a/bth/dispatch/allowance.cpp
+++ b/bth/dispatch/allowance.cpp
@@ -84,12 +84,25 @@
 
 double allowance_table::known_offered(time_point now, const row& entry) const
 {
+    if (!this->last_sums || now - *this->last_sums > sums_validity) {
+        return entry.offered_in_demand;
+    }
     const auto known =
         std::find_if(entry.reported.rbegin(), entry.reported.rend(),
                      [now](const auto& each) { return now - each.at >= settling_time; });
     return known == entry.reported.rend() ? 0.0 : known->offered;
 }
 
+double allowance_table::least_offered(time_point now, const row& entry)
+{
+    if (entry.reported.empty() || now - entry.reported.front().at < late_settling_time) {
+        return 0;
+    }
+    return std::min_element(entry.reported.begin(), entry.reported.end(),
+                            [](const auto& a, const auto& b) { return a.offered < b.offered; })
+        ->offered;
+}
+
 std::uint32_t allowance_table::idle_holders(const row& entry) const
 {
     const double borne = entry.burst + this->terms.excess(entry.rate, entry.burst);
@@ -190,6 +203,7 @@
         const double offered = entry.offered.value(now);
         if (offered < min_reported_rate) {
             entry.reported.clear();
+            entry.offered_in_demand = 0;
             continue;
         }
         out.push_back(
@@ -197,7 +211,7 @@
         // A host out of contact goes on with what the control hosts may know of it.
         if (reaches_control_hosts) {
             entry.reported.push_back({now, offered});
-            while (entry.reported.size() > 1 && now - entry.reported[1].at >= settling_time) {
+            while (entry.reported.size() > 1 && now - entry.reported[1].at >= late_settling_time) {
                 entry.reported.pop_front();
             }
         }
@@ -212,7 +226,9 @@
     if (!pressures) {
         return;
     }
+    this->last_sums = now;
     for (auto& [customer, entry] : this->rows) {
+        entry.offered_in_demand = least_offered(now, entry);
         entry.demand = min_told_demand;
         entry.usable = 1;
     }
--- a/bth/dispatch/allowance.h
+++ b/bth/dispatch/allowance.h
@@ -103,12 +103,18 @@
     // host: a report is due every 400 ms, a relay between control hosts 300 ms after a change, an
     // update after 400 ms.
     static constexpr std::chrono::milliseconds settling_time{600};
+    // The same beside load, where each message may be late by some 300 ms. What is admitted by sums
+    // that lack a report is made up for while control hosts are heard, but not after that.
+    static constexpr std::chrono::milliseconds late_settling_time{1200};
     // After the last word of a control host, what this host reported still counts there for longer
     // than this.
     static constexpr std::chrono::seconds isolated_validity{18};
     // This host is out of contact after that time without a word of a control host, of which two
     // are missing then.
     static constexpr std::chrono::seconds contact_validity{1};
+    // The sums of the control hosts are out of date after that time without word of them, of which
+    // one is missing then.
+    static constexpr std::chrono::milliseconds sums_validity{500};
 
     explicit allowance_table(allowance_terms terms) : terms{terms} {}
 
@@ -156,6 +162,8 @@
         // Nothing until the bucket is first used.
         std::optional<time_point> refilled_at;
         std::deque<reported_rate> reported;
+        // The least that `demand` holds of the demand at this host.
+        double offered_in_demand{};
         float demand{min_told_demand};
         float usable{1};
     };
@@ -164,8 +172,13 @@
     {
         return this->last_contact && now - *this->last_contact <= contact_validity;
     }
-    // Returns the demand at this host as the control hosts know it.
+    // Returns the demand at this host as the control hosts know it. While they tell no sums, this
+    // is what they knew when they last did: newer demand here, as a part of older sums, would let
+    // all hosts together refill at more than the limit.
     double known_offered(time_point now, const row& entry) const;
+    // Returns the least demand at this host that the control hosts may have counted in sums that
+    // they tell now.
+    static double least_offered(time_point now, const row& entry);
     double refill_rate(time_point now, customer_key customer, const row& entry) const;
     // Returns how many hosts may hold tokens of a customer without recent demand. What they hold
     // may be spent at all of them before the control hosts learn of it.
@@ -181,6 +194,8 @@
     std::uint32_t rank{};
     std::map<customer_key, row> rows;
     std::optional<time_point> last_contact;
+    // The last word that held sums.
+    std::optional<time_point> last_sums;
 };
 
 } // namespace bth::dispatch
