Tell the sender of a request by the address that its connection comes from

process_platform_signals failed in two tests beside load, "None unexpectedly found": the stand-in target couldn't name the entry host that had sent a request. It looked the connection up in the kernel's table and in the open files of the entry hosts, once the request was there. A connection that had been closed meanwhile, since the request was given up, is in neither.

Shown by test_sender_of_a_request_that_was_given_up_is_known, which lets the stand-in look 1.5 s later than the host gives up: it failed before (None), and passes now.

The entry program for tests, which replaced connect() already, now binds its connections to an address that the fleet gives each entry host, so that the peer's address names the host whatever has become of the connection. It can't name a wrong one either, as the remembered port could when another host got it later. Tests that ask for senders run that program; it differs from bth-platform-entry only in connect(). All checks and bounds are unchanged: each request must still have a known sender.

The slow looks were the cause of process_platform_rests too: each held the answer to the first request of a connection, so that the target looked slow or callers didn't get through their keys. Now the sender needs no look.

--- a/process_tests/connect_filter.cpp
+++ b/process_tests/connect_filter.cpp
@@ -1,7 +1,8 @@
 // Replaces connect() in an entry host's program that is built for tests: BTH_CONNECT_FILTER names a
 // file with a line "refuse" or "hang ADDRESS:PORT", followed by the endpoints that this concerns. A
 // connection that is to hang goes to ADDRESS:PORT instead, where nobody accepts it. Without the
-// file all connections are made as usual.
+// file all connections are made as usual. BTH_CONNECT_FROM is the address that they come from;
+// without it the kernel picks one, on loopback the same one for all programs.
 #include <cerrno>
 #include <cstdlib>
 #include <fstream>
@@ -37,10 +38,29 @@
     return out;
 }
 
+// Whether the socket has the address of BTH_CONNECT_FROM, or none is asked for. If not, errno tells
+// why.
+bool bind_source(int socket)
+{
+    const char* host = std::getenv("BTH_CONNECT_FROM");
+    if (host == nullptr) {
+        return true;
+    }
+    // The port is picked by connect(), so that ports don't run out sooner than without an address.
+    const int late_port = 1;
+    const auto source = parse(std::string{host} + ":0");
+    return ::setsockopt(socket, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &late_port,
+                        sizeof late_port) == 0 &&
+           ::bind(socket, reinterpret_cast<const sockaddr*>(&source), sizeof source) == 0;
+}
+
 } // namespace
 
 extern "C" int connect(int socket, const sockaddr* address, socklen_t length)
 {
+    if (address->sa_family == AF_INET && !bind_source(socket)) {
+        return -1;
+    }
     const char* path = std::getenv("BTH_CONNECT_FILTER");
     if (path == nullptr || address->sa_family != AF_INET) {
         return connect_as_usual(socket, address, length);
--- a/process_tests/platform_fleet.py
+++ b/process_tests/platform_fleet.py
@@ -5,14 +5,11 @@
         def test_serves(self):
             self.assertEqual(self.send("n1")[0], 200)
 """
-import contextlib
 import itertools
 import json
 import os
-import pathlib
 import re
 import resource
-import socket
 
 import harness
 from platform_standins import PREFIX, REQUEST_ID, Target, TargetList, configuration
@@ -37,6 +34,7 @@
         self.controls = {}
         self.entries = {}
         self.settings = {}
+        self.senders = {self.source_address(domain): domain for domain in DOMAINS}
         for row, domain in enumerate(DOMAINS):
             self.start_control(domain, row, first=True)
             self.start_entry(domain, row)
@@ -52,6 +50,10 @@
     def control_address(self, row):
         return self.address(10 + row)
 
+    def source_address(self, domain):
+        """Where the connections of an entry host come from; nothing listens there, so that no port is in their way."""
+        return self.address(50 + list(DOMAINS).index(domain))
+
     def settings_of(self, domain, address, listen, **more):
         return {"host": f"host-{address}", "address": address, "failure_domain": domain,
                 "failure_domains": DOMAINS, "first_start": False, "data_folder": "",
@@ -91,28 +93,14 @@
 
     def entry_environment(self, domain):
         """What a test adds to the environment of an entry host."""
-        return {}
+        return {"BTH_CONNECT_FROM": self.source_address(domain)}
 
-    def find_sender(self, peer, endpoint):
-        """The domain of the entry host whose connection to `endpoint` comes from `peer`, if any. All of them come from
-        one loopback address, so that only the kernel's table of connections tells them apart.
+    def find_sender(self, peer):
+        """The domain of the entry host whose connection comes from `peer`, if any. Known from the connection alone, so
+        that it doesn't matter whether it is still open. Only the entry program for tests connects from an address of its
+        own; the connections of all others come from one loopback address.
         """
-        def written(host, port):
-            return f"{int.from_bytes(socket.inet_aton(host), 'little'):08X}:{int(port):04X}"
-
-        wanted = [written(*peer), written(*endpoint.rsplit(":", 1))]
-        # The table is long on a busy machine.
-        rows = (line.split() for line in pathlib.Path("/proc/net/tcp").read_text().splitlines() if wanted[0] in line)
-        sockets = {f"socket:[{row[9]}]" for row in rows if row[1:3] == wanted}
-        for domain, entry in self.entries.items():
-            files = f"/proc/{entry.popen.pid}/fd"
-            # The process may have ended meanwhile.
-            with contextlib.suppress(OSError):
-                for each in os.listdir(files):
-                    with contextlib.suppress(OSError):
-                        if os.readlink(f"{files}/{each}") in sockets:
-                            return domain
-        return None
+        return self.senders.get(peer[0])
 
     def fill_disk(self, domain):
         """No file of the control host can grow from now on, as on a full disk."""
--- a/process_tests/platform_signals_test.py
+++ b/process_tests/platform_signals_test.py
@@ -35,20 +35,16 @@
 
 
 class PlatformSignalsTest(PlatformFleet):
+    # Its connections tell which host they come from.
+    entry_program = "bth-test-entry-with-connect-filter"
+
     def setUp(self):
         super().setUp()
         for each in self.targets:
             self.watch(each)
 
     def watch(self, target):
-        senders = {}
-
-        def sender_of(peer):
-            if peer not in senders:
-                senders[peer] = self.find_sender(peer, target.endpoint)
-            return senders[peer]
-
-        target.sender_of = sender_of
+        target.sender_of = self.find_sender
         # What came before has no known sender.
         with target.lock:
             target.reached.clear()
@@ -137,9 +133,7 @@
         self.assertEqual(ran[:3], [])
 
     def assert_held_by_no_host(self, outcomes):
-        """Each answer came at once, apart from the time that the request was at a target: beside load a stand-in takes
-        more than a second to find out who sent a request, before it answers.
-        """
+        """Each answer came at once, apart from the time that the request was at a target."""
         at_targets = {}
         for target in self.targets:
             for each in target.arrivals():
@@ -198,6 +192,16 @@
             self.until(lambda: self.ask(domain, str(next(keys))).server == new.name,
                        f"{domain} uses the new target")
 
+    def test_sender_of_a_request_that_was_given_up_is_known(self):
+        # As on a busy machine: the stand-in finds out who sent a request when the connection is closed already.
+        for each in self.targets:
+            each.sender_of = lambda peer, known=each.sender_of: time.sleep(1.5) or known(peer)
+        for domain in DOMAINS:
+            number = self.ask(domain, deadline_ms=300).number
+            senders = self.until(lambda: [each.sender for target in self.targets for each in target.arrivals()
+                                          if each.number == number], "the request is at a target")
+            self.assertEqual(set(senders), {domain})
+
     def test_targets_that_all_leave_get_nothing_after_the_drain_time(self):
         for each in self.targets:
             each.leaving = True
--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -137,7 +137,7 @@
                     return
                 continue
             far.settimeout(None)
-            sender = self.find_sender(near.getpeername(), self.listen)
+            sender = self.find_sender(near.getpeername())
             self.senders[far.getsockname()] = sender
             self.open.append((sender, near))
             for come, go, outward in ((near, far, True), (far, near, False)):
@@ -199,7 +199,7 @@
         return self.folder / f"connect-filter-{domain}"
 
     def entry_environment(self, domain):
-        return {"BTH_CONNECT_FILTER": str(self.filter_of(domain))}
+        return {**super().entry_environment(domain), "BTH_CONNECT_FILTER": str(self.filter_of(domain))}
 
     def cut(self, *domains, how="refuse", keeps_open=False):
         """New connections of these entry hosts to targets are refused or hang; open ones are reset, or live on."""
