Test the loss of all targets at once if it comes back soon after targets were reached again

process_platform_repeated_cuts failed: first tries at a host in a cut that comes and goes were refused with no_target, without a line targets_lost. A host that is cut off looks every 250 ms whether it reaches targets again, and a test of a new suspicion waited 500 ms for that look. If the cut came back meanwhile (in the log: targets_reached_again at 4.01 s, the next cut at 4.42 s), all targets were taken for failed within some ms, nothing was sent any more, and so nothing raised the suspicion again: refusals from 4.43 to 5.2 s. This doesn't need load, only a look that comes late after the end of a cut. The look that finds targets again is no test of a suspicion; the first test no longer waits for it. Tests still keep their distance from each other.

--- a/bth/dispatch/target_contact.cpp
+++ b/bth/dispatch/target_contact.cpp
@@ -99,6 +99,10 @@
         return false;
     }
     this->last_change_at = now;
+    // What found targets again was no test of a suspicion. If the way is lost again, the first test
+    // must come at once: as soon as all targets are taken for failed, nothing is sent that could
+    // raise the suspicion later.
+    this->has_probed = is_cut_off_now;
     return true;
 }
 
--- a/bth/dispatch/target_contact.h
+++ b/bth/dispatch/target_contact.h
@@ -41,7 +41,7 @@
     // The most targets that are probed at a time.
     static constexpr std::size_t max_probes = 4;
     // Smallest time between two tests of a suspicion, and between two looks whether a host that is
-    // cut off reaches targets again.
+    // cut off reaches targets again. The first test after such a look doesn't wait.
     static constexpr std::chrono::milliseconds test_interval{500};
     static constexpr std::chrono::milliseconds return_interval{250};
 
@@ -88,6 +88,7 @@
     time_point last_probes_at;
     // Counts the targets that were probed in turn.
     std::size_t turn{};
+    // Whether the next probes wait for the last ones.
     bool has_probed{};
     bool cut_off{};
     time_point last_change_at;
--- a/bth/dispatch/target_contact_test.cpp
+++ b/bth/dispatch/target_contact_test.cpp
@@ -143,6 +143,26 @@
     CHECK_FALSE(contact.needs_probes(start + 10s));
 }
 
+TEST(target_contact, a_cut_that_comes_back_soon_after_targets_were_reached_again_is_tested_at_once)
+{
+    auto contact = usual_contact();
+    contact.record_probes(start, 4, 0);
+    CHECK_TRUE(contact.is_cut_off());
+    contact.record_probes(start + 300ms, 4, 4);
+    CHECK_FALSE(contact.is_cut_off());
+    for (int i = 0; i < 3; ++i) {
+        contact.record_failure(start + 400ms, name_of(i));
+    }
+    CHECK_TRUE(contact.needs_probes(start + 400ms));
+    // Only the look that found targets again is no test: the next one waits.
+    contact.record_probes(start + 410ms, 4, 4);
+    for (int i = 0; i < 3; ++i) {
+        contact.record_failure(start + 420ms, name_of(i));
+    }
+    CHECK_FALSE(contact.needs_probes(start + 420ms));
+    CHECK_TRUE(contact.needs_probes(start + 410ms + target_contact::test_interval));
+}
+
 TEST(target_contact, a_host_that_never_had_an_answer_probes_what_failed)
 {
     target_contact contact;
--- a/process_tests/platform_repeated_cuts_test.py
+++ b/process_tests/platform_repeated_cuts_test.py
@@ -12,17 +12,23 @@
         locals()[name] = None
     del name
 
-    def test_callers_are_served_during_a_cut_that_comes_and_goes(self):
+    def play_cuts(self, mended_s):
         with self.callers() as outcomes:
             begun = time.monotonic()
             for _ in range(4):
                 self.cut("n1")
                 time.sleep(1.5)
                 self.mend("n1")
-                time.sleep(0.7)
+                time.sleep(mended_s)
         late = [each for each in outcomes if each.sent > begun + CONTACT_S]
         self.check_served(late, {"n1"})
 
+    def test_callers_are_served_during_a_cut_that_comes_and_goes(self):
+        self.play_cuts(0.7)
+
+    def test_callers_are_served_during_a_cut_that_comes_back_right_after_the_host_saw_its_end(self):
+        self.play_cuts(0.4)
+
 
 # The tests of the base class are run by its own file.
 del PlatformCutOffTest
