Count in the soak only requests to the target that asked for rest

A rest is asked for by a target, and the users' rule counts requests that reach it. The check compares names now, and is otherwise as strict.

--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -780,7 +780,8 @@
             if turned.rest is None or turned.answered is None:
                 continue
             begin, end = turned.answered + REST_BEGINS_SECONDS, turned.answered + float(turned.rest)
-            count = sum(begin < each.at < end for each in arrivals)
+            # Another target on the same address has asked for nothing.
+            count = sum(begin < each.at < end and each.name == turned.name for each in arrivals)
             excused = any(self.was_disturbed(each, turned.answered - 0.5, end) for each in (sender, "links"))
             if count > REST_BUDGET and not excused:
                 self.findings.append(f"{turned.answered - self.begun:.1f}s {sender} sends {count} requests in the rest of "
