--- a/bth/gateway/caller_session.h
+++ b/bth/gateway/caller_session.h
@@ -70,7 +70,8 @@
     std::shared_ptr<gateway> request_gateway;
     boost::beast::flat_buffer buffer;
     std::deque<std::shared_ptr<pipelined_request>> queue;
-    // Never expires; cancelled to signal that the queue has capacity again.
+    // Never expires; cancelled to signal that a response has been written, so that the queue has
+    // capacity again.
     boost::asio::steady_timer capacity_signal;
     // Schedules the timeout checks while the connection is open, then limits how long the lingering
     // close may take.
@@ -78,7 +79,8 @@
     time_point last_activity;
     bool reading_request{};
     bool writing{};
-    // The last response is being written or has been; no further request is served.
+    // No further request is served: the last response has been decided on, which may still be in
+    // the queue, being written or written already.
     bool read_closed{};
     bool closed{};
 };
