--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -56,6 +56,7 @@
     7: "the first seed that CI plays; it has not failed so far",
     417: "beside load, two entry hosts didn't serve for 20 s after the faults; the thread of a proxy had ended; cause not known",
     444: "all targets were crashed by a request: hosts that took themselves for cut off didn't tell of it, others blamed another one",
+    4403: "a target rested and crashed; its successor's requests on the same address were counted against the rest, a fault of the check",
     103: "beside load, callers 8 s late: the soak's own main thread stood still from 2.3 s to after 9 s; cause not known",
 }
 FAULT_SECONDS = 9
