Tell why forwarded requests end without a reply

The logs couldn't tell the hypotheses on requests that are given up while another host has them sent to a target from each other: owner_lost counted requests and named none, peer_lost didn't say why, and the other host wrote nothing.

forward_given_up names the request, the other host and why; forwarded_cut the requests that this host ends since the connection to their host is gone; outcome_unclaimed a reply that nobody waits for. peer_lost says why. sent tells the limit of the time to connect beside that time, so that a send that breaks right after a late connection shows. The metric bth_gateway_forwards_given_up_total counts by reason. No logic changes.

--- a/bth/entry/entry_process.cpp
+++ b/bth/entry/entry_process.cpp
@@ -63,11 +63,12 @@
                          [this](const shell::peer_identity& from, wire::byte_view payload) {
                              return this->receive_steering(from.name, payload);
                          });
-    this->link->on_change([this](const shell::peer_identity& peer, bool connected) {
-        if (!connected) {
-            this->driver.peer_lost(peer.name);
-        }
-    });
+    this->link->on_change(
+        [this](const shell::peer_identity& peer, bool connected, std::string_view) {
+            if (!connected) {
+                this->driver.peer_lost(peer.name);
+            }
+        });
     auto started =
         this->settings.text_file.empty() ? this->start_with_control() : this->start_with_file();
     if (!started) {
--- a/bth/entry/stream_multiplexer.cpp
+++ b/bth/entry/stream_multiplexer.cpp
@@ -208,13 +208,13 @@
             const auto self = weak.lock();
             return self && self->receive(from, payload);
         });
-    this->link->on_change(
-        [weak = weak_from_this()](const shell::peer_identity& peer, bool connected) {
-            const auto self = weak.lock();
-            if (self && !connected) {
-                self->handle_disconnect(peer.name);
-            }
-        });
+    this->link->on_change([weak = weak_from_this()](const shell::peer_identity& peer,
+                                                    bool connected, std::string_view) {
+        const auto self = weak.lock();
+        if (self && !connected) {
+            self->handle_disconnect(peer.name);
+        }
+    });
 }
 
 std::shared_ptr<stream_channel> stream_multiplexer::open(const std::string& peer,
--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -98,8 +98,9 @@
     this->link->on_frame(wire::frame_kind::membership, [this](const auto& from, auto payload) {
         return this->receive(from, payload);
     });
-    this->link->on_change(
-        [this](const auto& peer, bool connected) { this->on_peer_change(peer, connected); });
+    this->link->on_change([this](const auto& peer, bool connected, std::string_view reason) {
+        this->on_peer_change(peer, connected, reason);
+    });
     auto listening = this->link->listen({this->settings.address, this->settings.peer_port});
     if (!listening) {
         return listening;
@@ -307,10 +308,12 @@
     }
 }
 
-void control_host::on_peer_change(const shell::peer_identity& peer, bool connected)
+void control_host::on_peer_change(const shell::peer_identity& peer, bool connected,
+                                  std::string_view reason)
 {
     this->events->write(
-        shell::event{connected ? "peer_connected" : "peer_lost"}.with("peer", peer.name));
+        connected ? shell::event{"peer_connected"}.with("peer", peer.name)
+                  : shell::event{"peer_lost"}.with("peer", peer.name).with("why", reason));
     const auto now = shell::monotonic_now();
     if (connected) {
         // Brings another control host the state that it missed, without waiting for the interval.
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -145,7 +145,7 @@
     bool receive(const shell::peer_identity& from, wire::byte_view payload);
     void handle(const shell::peer_identity& from, const report& received);
     void handle(const shell::peer_identity& from, const relay& received);
-    void on_peer_change(const shell::peer_identity& peer, bool connected);
+    void on_peer_change(const shell::peer_identity& peer, bool connected, std::string_view reason);
     // Called after each step of the consensus group.
     void on_group_progress();
     void update_leader(const consensus::replica_status& group_status);
--- a/bth/fleet/entry_agent.cpp
+++ b/bth/fleet/entry_agent.cpp
@@ -51,9 +51,11 @@
                          [self = shared_from_this()](const auto& from, auto payload) {
                              return self->receive(from, payload);
                          });
-    this->link->on_change([self = shared_from_this()](const auto& peer, bool is_connected) {
+    this->link->on_change([self = shared_from_this()](const auto& peer, bool is_connected,
+                                                      std::string_view reason) {
         self->events->write(
-            shell::event{is_connected ? "peer_connected" : "peer_lost"}.with("host", peer.name),
+            is_connected ? shell::event{"peer_connected"}.with("host", peer.name)
+                         : shell::event{"peer_lost"}.with("host", peer.name).with("why", reason),
             peer.name == self->selector.current() ? shell::event_weight::essential
                                                   : shell::event_weight::notable);
         if (is_connected && peer.name == self->selector.current()) {
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -232,7 +232,7 @@
 {
     const std::weak_ptr<gateway> weak = weak_from_this();
     this->forwarder = std::make_shared<request_forwarder>(
-        *this->context, std::move(link), std::move(use_host), *this->events,
+        *this->context, std::move(link), std::move(use_host), *this->events, this->metrics,
         [weak](std::shared_ptr<const handoff_request> handoff,
                std::shared_ptr<send_control> control) {
             return weak.lock()->serve_handoff(std::move(handoff), std::move(control));
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -308,6 +308,7 @@
     const auto started = shell::monotonic_now();
     const auto target = outgoing.placement.target;
     const auto& domain = target->info().domain;
+    const auto connect_limit = this->connect_timeout(*target);
     target->begin_request(started, outgoing.object);
     target_request request{target->info().id,
                            target->info().target_endpoint,
@@ -316,7 +317,7 @@
                            outgoing.is_head,
                            outgoing.at_most_once ? duration{max_idle_at_most_once}
                                                  : duration{max_idle_repeatable},
-                           this->connect_timeout(*target),
+                           connect_limit,
                            &this->header_names,
                            [self = shared_from_this(), target, fingerprint = outgoing.fingerprint] {
                                return self->admit_write(*target, fingerprint);
@@ -383,6 +384,7 @@
                 .with("limit_per_s", target->limit().value_or(0.0))
                 .with("forwarded", outgoing.forwarded)
                 .with("connect_ms", result.connect_time.value_or(duration{}))
+                .with("connect_limit_ms", connect_limit)
                 .with("outcome", outcome_name(result.outcome))
                 .with("target_refuses", result.target_refuses)
                 .with("took_ms", now - started));
--- a/bth/gateway/metrics.cpp
+++ b/bth/gateway/metrics.cpp
@@ -127,6 +127,11 @@
              .Name("bth_gateway_targets_leaving_total")
              .Help("Targets that leave, by whether an answer or the list said so.")
              .Register(*this->registry);
+    this->forwards_given_up =
+        &prometheus::BuildCounter()
+             .Name("bth_gateway_forwards_given_up_total")
+             .Help("Requests given up before the host to which they were forwarded replied.")
+             .Register(*this->registry);
     this->sends = &prometheus::BuildCounter()
                        .Name("bth_gateway_sends_total")
                        .Help("Sends to targets, by failure domain of the target and outcome.")
@@ -206,6 +211,11 @@
     this->leaving_targets->Add({{"learned_from", std::string{learned_from}}}).Increment();
 }
 
+void gateway_metrics::count_forward_given_up(std::string_view why)
+{
+    this->forwards_given_up->Add({{"why", std::string{why}}}).Increment();
+}
+
 std::string gateway_metrics::render(const gauge_values& values)
 {
     this->in_flight->Set(static_cast<double>(values.in_flight));
--- a/bth/gateway/metrics.h
+++ b/bth/gateway/metrics.h
@@ -55,6 +55,9 @@
     void count_too_long_answer() { this->too_long_answers->Increment(); }
     // Counts a request that another host sent, since this one reaches no target.
     void count_relayed() { this->relayed->Increment(); }
+    // Counts a request that was given up although another host, to which it was forwarded, had not
+    // replied.
+    void count_forward_given_up(std::string_view why);
     // Sets whether this host reaches no target.
     void set_cut_off(bool is_cut_off) { this->cut_off->Set(is_cut_off ? 1 : 0); }
     // Counts a crash of a target, for each request that was running there.
@@ -116,6 +119,7 @@
     prometheus::Family<prometheus::Counter>* customer_refusals;
     prometheus::Family<prometheus::Counter>* customer_seconds;
     prometheus::Family<prometheus::Counter>* leaving_targets;
+    prometheus::Family<prometheus::Counter>* forwards_given_up;
     prometheus::Family<prometheus::Counter>* sends;
     prometheus::Family<prometheus::Histogram>* send_times;
     std::array<prometheus::Counter*, retry_reason_count> retries{};
--- a/bth/gateway/request_forwarder.cpp
+++ b/bth/gateway/request_forwarder.cpp
@@ -37,13 +37,29 @@
 // gone for about as long.
 constexpr std::chrono::milliseconds unreachable_time{2000};
 
+std::string_view name_of(forward_end why)
+{
+    switch (why) {
+    case forward_end::replied:
+        return "replied";
+    case forward_end::cancelled:
+        return "cancelled";
+    case forward_end::peer_lost:
+        return "peer_lost";
+    case forward_end::peer_silent:
+        return "peer_silent";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 request_forwarder::request_forwarder(asio::io_context& context,
                                      std::shared_ptr<shell::peer_link> link, use_handler use_host,
-                                     shell::event_log& events, request_handler serve)
+                                     shell::event_log& events, gateway_metrics& metrics,
+                                     request_handler serve)
     : context{&context}, link{std::move(link)}, use_host{std::move(use_host)}, events{&events},
-      serve{std::move(serve)}, timer{context}
+      metrics{&metrics}, serve{std::move(serve)}, timer{context}
 {}
 
 void request_forwarder::start()
@@ -52,9 +68,10 @@
                          [self = shared_from_this()](const auto& from, auto payload) {
                              return self->receive(from, payload);
                          });
-    this->link->on_change([self = shared_from_this()](const auto& peer, bool connected) {
-        self->update_peer(peer, connected);
-    });
+    this->link->on_change(
+        [self = shared_from_this()](const auto& peer, bool connected, std::string_view) {
+            self->update_peer(peer, connected);
+        });
     asio::co_spawn(
         *this->context, [self = shared_from_this()] { return self->monitor_peers(); },
         asio::detached);
@@ -112,6 +129,7 @@
     const auto self = shared_from_this();
     request.id = this->next_id++;
     const auto id = request.id;
+    const std::string request_id = request.request_id;
     const handoff_message message{std::move(request)};
     const bool connected = co_await this->connect(host);
     if (!connected || control->aborted() || !this->send(host, message)) {
@@ -125,6 +143,7 @@
     control->close = [this, id, host] {
         const auto found = this->pending.find(id);
         if (found != this->pending.end()) {
+            found->second->end = forward_end::cancelled;
             found->second->timer.cancel();
             this->send(host, handoff_cancel{id});
         }
@@ -138,6 +157,12 @@
     if (pending_entry->outcome) {
         co_return std::move(pending_entry->outcome);
     }
+    this->metrics->count_forward_given_up(name_of(pending_entry->end));
+    this->events->write(shell::event{"forward_given_up"}
+                            .with("request", request_id)
+                            .with("host", host)
+                            .with("why", name_of(pending_entry->end))
+                            .with("waited_ms", shell::monotonic_now() - pending_entry->sent_at));
     // The request was cancelled or the owner was lost; the owner may have sent the request.
     handoff_outcome unknown;
     unknown.id = id;
@@ -166,12 +191,19 @@
             found->second->outcome = std::move(*outcome);
             found->second->timer.cancel();
         }
+        else {
+            this->events->write(
+                shell::event{"outcome_unclaimed"}
+                    .with("host", from.name)
+                    .with("answered", outcome->result.response.has_value())
+                    .with("took_ms", std::chrono::duration_cast<duration>(outcome->took)));
+        }
     }
     else if (const auto* cancel = std::get_if<handoff_cancel>(&*decoded)) {
         const auto found = this->serving.find({from.name, cancel->id});
         if (found != this->serving.end()) {
-            found->second->caller_disconnected = true;
-            found->second->abort();
+            found->second.control->caller_disconnected = true;
+            found->second.control->abort();
         }
     }
     else if (const auto* ping = std::get_if<handoff_ping>(&*decoded);
@@ -185,7 +217,8 @@
 {
     const auto shared_request = std::make_shared<const handoff_request>(std::move(request));
     const auto control = std::make_shared<send_control>();
-    this->serving[{from, shared_request->id}] = control;
+    this->serving[{from, shared_request->id}] = {control, shared_request->request_id,
+                                                 shell::monotonic_now()};
     asio::co_spawn(
         *this->context,
         [self = shared_from_this(), from, shared_request, control] {
@@ -215,22 +248,27 @@
         return;
     }
     this->peers.erase(peer.name);
-    this->fail_pending(peer.name);
+    this->fail_pending(peer.name, forward_end::peer_lost);
     // The disconnected host can't receive the outcomes of the requests that it forwarded.
-    for (const auto& [key, control] : this->serving) {
+    for (const auto& [key, served] : this->serving) {
         if (key.first == peer.name) {
-            control->caller_disconnected = true;
-            control->abort();
+            this->events->write(shell::event{"forwarded_cut"}
+                                    .with("request", served.request_id)
+                                    .with("host", peer.name)
+                                    .with("age_ms", shell::monotonic_now() - served.accepted_at));
+            served.control->caller_disconnected = true;
+            served.control->abort();
         }
     }
 }
 
-void request_forwarder::fail_pending(const std::string& host)
+void request_forwarder::fail_pending(const std::string& host, forward_end why)
 {
     std::size_t count = 0;
     for (const auto& [id, entry] : this->pending) {
         if (entry->host == host) {
             ++count;
+            entry->end = why;
             entry->timer.cancel();
         }
     }
@@ -280,7 +318,7 @@
                                         .with("host", host)
                                         .with("heard_age_ms", now - peer.last_received),
                                     shell::event_weight::essential);
-                this->fail_pending(host);
+                this->fail_pending(host, forward_end::peer_silent);
             }
         }
         this->ping_unresponsive_peers(now);
--- a/bth/gateway/request_forwarder.h
+++ b/bth/gateway/request_forwarder.h
@@ -13,6 +13,7 @@
 #pragma once
 
 #include "bth/gateway/handoff.h"
+#include "bth/gateway/metrics.h"
 #include "bth/shell/event_log.h"
 #include "bth/shell/peer_link.h"
 
@@ -28,6 +29,17 @@
 
 namespace bth::gateway {
 
+// How the wait for the reply to a forwarded request ended.
+enum class forward_end : std::uint8_t {
+    replied,
+    // The caller left, or the deadline passed.
+    cancelled,
+    // The connection to the other host was lost.
+    peer_lost,
+    // The other host didn't answer a ping.
+    peer_silent,
+};
+
 class request_forwarder : public std::enable_shared_from_this<request_forwarder> {
 public:
     using request_handler = std::function<boost::asio::awaitable<handoff_outcome>(
@@ -37,7 +49,8 @@
     using use_handler = std::function<void(const std::string& host)>;
 
     request_forwarder(boost::asio::io_context& context, std::shared_ptr<shell::peer_link> link,
-                      use_handler use_host, shell::event_log& events, request_handler serve);
+                      use_handler use_host, shell::event_log& events, gateway_metrics& metrics,
+                      request_handler serve);
 
     void start();
     void stop();
@@ -65,6 +78,13 @@
         // Never expires; cancelled when the outcome has arrived or the wait is given up.
         boost::asio::steady_timer timer;
         std::optional<handoff_outcome> outcome;
+        forward_end end{forward_end::replied};
+    };
+    // A request that another host forwarded to this one.
+    struct served_forward {
+        std::shared_ptr<send_control> control;
+        std::string request_id;
+        time_point accepted_at;
     };
     struct peer_state {
         time_point last_received;
@@ -83,19 +103,20 @@
     boost::asio::awaitable<void> monitor_peers();
     void ping_unresponsive_peers(time_point now);
     // Ends the wait of all requests that were forwarded to a host which is lost or unresponsive.
-    void fail_pending(const std::string& host);
+    void fail_pending(const std::string& host, forward_end why);
     bool send(const std::string& to, const handoff_message& message);
 
     boost::asio::io_context* context;
     std::shared_ptr<shell::peer_link> link;
     use_handler use_host;
     shell::event_log* events;
+    gateway_metrics* metrics;
     request_handler serve;
     boost::asio::steady_timer timer;
     std::uint64_t next_id{1};
     std::map<std::uint64_t, std::shared_ptr<pending_forward>> pending;
     // Forwarded requests in flight here, by forwarding host and its id for the request.
-    std::map<std::pair<std::string, std::uint64_t>, std::shared_ptr<send_control>> serving;
+    std::map<std::pair<std::string, std::uint64_t>, served_forward> serving;
     std::map<std::string, peer_state> peers;
     // The timers of the requests that wait for a connection to a host; cancelled once it is there.
     std::multimap<std::string, std::shared_ptr<boost::asio::steady_timer>> connecting;
--- a/bth/gateway/request_forwarder_test.cpp
+++ b/bth/gateway/request_forwarder_test.cpp
@@ -42,6 +42,7 @@
               context.get_executor(), bth::shell::peer_link_settings{name, bth::incarnation{1}})},
           forwarder{std::make_shared<request_forwarder>(
               context, this->link, [this](const std::string& host) { this->use(host); }, events,
+              this->metrics,
               [](std::shared_ptr<const handoff_request>,
                  std::shared_ptr<send_control>) -> asio::awaitable<handoff_outcome> {
                   handoff_outcome out;
@@ -70,6 +71,7 @@
         }
     }
 
+    gateway_metrics metrics;
     std::shared_ptr<bth::shell::peer_link> link;
     std::shared_ptr<request_forwarder> forwarder;
     bth::shell::peer_address other;
--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -74,7 +74,7 @@
     bool supersedes(const peer_connection& next, const peer_connection& present) const;
     bool received(const peer_connection& from, const wire::frame& frame);
     void closed(const std::shared_ptr<peer_connection>& connection, const std::string& reason);
-    void report(const peer_connection& connection, bool connected);
+    void report(const peer_connection& connection, bool connected, std::string_view reason);
 
     asio::any_io_executor executor;
     peer_link_settings settings;
@@ -207,14 +207,14 @@
         return false;
     }
     if (const auto old = std::exchange(row->live, nullptr)) {
-        this->report(*old, false);
+        this->report(*old, false, "superseded by a newer connection");
         old->close("superseded by a newer connection");
     }
     row->live = connection;
     row->back_off = least_back_off;
     row->wake.cancel();
     LOG4CPLUS_INFO(this->log, "Connected to " << name << ".");
-    this->report(*connection, true);
+    this->report(*connection, true, {});
     return true;
 }
 
@@ -262,17 +262,18 @@
         this->rows.erase(found);
     }
     LOG4CPLUS_INFO(this->log, "Lost " << connection->peer_name() << ": " << reason << ".");
-    this->report(*connection, false);
+    this->report(*connection, false, reason);
 }
 
-void peer_link::state::report(const peer_connection& connection, bool connected)
+void peer_link::state::report(const peer_connection& connection, bool connected,
+                              std::string_view reason)
 {
     if (this->stopped) {
         return;
     }
     const peer_identity peer{connection.peer_name(), connection.peer_life()};
     for (const auto& handler : this->change_handlers) {
-        handler(peer, connected);
+        handler(peer, connected, reason);
     }
 }
 
--- a/bth/shell/peer_link.h
+++ b/bth/shell/peer_link.h
@@ -56,8 +56,10 @@
 // closed.
 using frame_handler = std::function<bool(const peer_identity& from, wire::byte_view payload)>;
 
-// A connection to a peer was made, or is gone.
-using peer_change_handler = std::function<void(const peer_identity& peer, bool connected)>;
+// A connection to a peer was made, or is gone; `reason` tells why it is gone, valid during the call
+// only.
+using peer_change_handler =
+    std::function<void(const peer_identity& peer, bool connected, std::string_view reason)>;
 
 class peer_link : public std::enable_shared_from_this<peer_link> {
 public:
--- a/bth/shell/peer_link_test.cpp
+++ b/bth/shell/peer_link_test.cpp
@@ -27,9 +27,10 @@
             this->got.push_back(from.name + ":" + std::string{payload.begin(), payload.end()});
             return !payload.empty();
         });
-        this->link->on_change([this](const bth::shell::peer_identity&, bool connected) {
-            ++(connected ? this->connects : this->losses);
-        });
+        this->link->on_change(
+            [this](const bth::shell::peer_identity&, bool connected, std::string_view) {
+                ++(connected ? this->connects : this->losses);
+            });
     }
 
     bool send(const std::string& to, const std::string& text) const
