Show requests given up while a silent host has them at their target

One host relays its requests through another one, which stands still for 1.2 s while targets work on them. The first host, which is stopping, answers all of them itself.

AssertionError: Lists differ: [502, 502, 502, 502, 502] != [200, 200, 200, 200, 200]

--- a/process_tests/platform_stop_relay_test.py
+++ b/process_tests/platform_stop_relay_test.py
@@ -13,6 +13,8 @@
 TAKES_CALLERS_S = 3 * LOOK_UP_TTL_S
 # Shorter than the silence after which the other host gives up the requests that it forwarded.
 FREEZE_S = 0.33
+# Longer than that silence.
+PAUSE_S = 1.2
 
 
 class HeldTarget(Target):
@@ -43,13 +45,13 @@
     def arrivals(self):
         return {each.number: each for target in self.targets for each in target.arrivals()}
 
-    def test_answers_for_another_host_are_out_before_the_exit(self):
+    def relay_requests_of_n1(self):
+        """From now on n1 reaches no target, and n2 sends its requests."""
         wanted = configuration(2, ROUTES, ["orders"])
         for route in wanted["routes"].values():
             route["timeoutS"], route["targetLatencyS"] = 8, 6
         self.put(wanted)
         self.wrap_targets()
-        # n1 reaches no target, so that n2 sends its requests.
         self.entries["s1"].kill()
         self.cut("n1", how="refuse", keeps_open=False)
         warmed_up = time.monotonic() + 5
@@ -60,25 +62,59 @@
         HeldTarget.holds, HeldTarget.answer_at = True, None
         for each in self.targets:
             each.__class__ = HeldTarget
-        connections = [KeptConnection(self.listen("entry-n1", "callers")) for _ in range(10)]
-        requests = [each.send(self.next_number(), path="/pay/a", deadline_ms=7900) for each in connections]
+
+    def send_all(self, paths):
+        """Sends requests to n1, each on a connection of its own, and waits until all of them are at targets."""
+        connections = [KeptConnection(self.listen("entry-n1", "callers")) for _ in paths]
+        requests = [each.send(self.next_number(), path=path, deadline_ms=7900) for each, path in zip(connections, paths)]
         self.until(lambda: all(each.number in self.arrivals() for each in requests), "the requests are at targets")
-        entry = self.entries["n2"]
+        return connections, requests
+
+    def receive_all(self, connections):
+        for each in connections:
+            while each.waiting and each.receive(10):
+                pass
+            each.close()
+
+    def stop(self, domain):
+        entry = self.entries[domain]
         entry.signal(signal.SIGTERM)
         self.until(lambda: any(b"event=stop " in line for line in self.lines(entry)), "the host is stopping")
-        stopped = time.monotonic()
+        return time.monotonic()
+
+    def pause(self, domain, seconds):
+        self.entries[domain].signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self.entries[domain].signal(signal.SIGCONT)
+
+    def test_answers_for_another_host_are_out_before_the_exit(self):
+        self.relay_requests_of_n1()
+        connections, requests = self.send_all(["/pay/a"] * 10)
+        stopped = self.stop("n2")
         # All answers and the end of the time for callers are there in one turn of the event loop.
         HeldTarget.answer_at = stopped + TAKES_CALLERS_S - 0.08
         time.sleep(max(0, stopped + TAKES_CALLERS_S - 0.12 - time.monotonic()))
-        entry.signal(signal.SIGSTOP)
-        time.sleep(FREEZE_S)
-        entry.signal(signal.SIGCONT)
-        for each in connections:
-            while each.waiting and each.receive(10):
-                pass
-            each.close()
+        self.pause("n2", FREEZE_S)
+        self.receive_all(connections)
         self.assertEqual([each.status for each in requests], [200] * len(requests))
 
+    def run_beside_a_pause(self, path):
+        self.relay_requests_of_n1()
+        connections, requests = self.send_all([path] * 5)
+        self.stop("n1")
+        self.pause("n2", PAUSE_S)
+        HeldTarget.answer_at = time.monotonic()
+        self.receive_all(connections)
+        self.assertEqual([each.status for each in requests], [200] * len(requests))
+        return requests
+
+    def test_request_at_a_host_that_stood_still_is_not_given_up(self):
+        requests = self.run_beside_a_pause("/pay/a")
+        self.assertEqual([self.runs_of(each.number) for each in requests], [1] * len(requests))
+
+    def test_request_that_no_other_host_can_send_is_not_given_up(self):
+        self.run_beside_a_pause("/read/a")
+
 
 if __name__ == "__main__":
     harness.main()
