Don't close a connection for a time limit that it met

A host that stood still for a moment finds the connection and the end of its time limit in one turn of the event loop. The request is written, and then the limit's handler, which cancel() no longer reaches, closes the connection.

The handler now does nothing once the connection is there, so that a late connection is used. Other time limits were checked: the link between hosts closes a socket that it has moved from, and the other handlers look at a state of their own.

The test failed before: target_send_test.cpp:259: error: Failure in TEST(target_send, connection_made_while_the_process_stood_still_is_used) CHECK_FALSE(result.has_value()) failed

--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -87,20 +87,23 @@
     };
 }
 
-// Connects. Aborts the attempt through `control` after `timeout`.
+// Connects. Aborts the attempt through `control` if that takes longer than `timeout`.
 asio::awaitable<boost::system::error_code> connect(target_connection& connection,
                                                    std::shared_ptr<send_control> control,
                                                    endpoint address, duration timeout)
 {
+    // cancel() doesn't reach a timer whose handler is queued already.
+    const auto is_connecting = std::make_shared<bool>(true);
     asio::steady_timer timer{co_await asio::this_coro::executor, timeout};
-    timer.async_wait([control](const boost::system::error_code& error) {
-        if (!error) {
+    timer.async_wait([control, is_connecting](const boost::system::error_code& error) {
+        if (!error && *is_connecting) {
             control->abort();
         }
     });
     boost::system::error_code error;
     co_await connection.socket.async_connect(shell::to_asio(address),
                                              asio::redirect_error(asio::use_awaitable, error));
+    *is_connecting = false;
     timer.cancel();
     if (!error && !connection.socket.is_open()) {
         error = asio::error::operation_aborted;
--- a/bth/gateway/target_send_test.cpp
+++ b/bth/gateway/target_send_test.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
@@ -175,6 +176,7 @@
 
 // clang-format off
 TEST_GROUP(endless_answer) {};
+TEST_GROUP(target_send) {};
 // clang-format on
 
 TEST(endless_answer, head_without_end_is_given_up)
@@ -226,3 +228,39 @@
     check_bounded(seen, 1, mebibyte);
     CHECK_TRUE(seen.results.front().outcome == send_outcome::timed_out);
 }
+
+// The connection and the end of its time limit are found in the same turn of the event loop.
+TEST(target_send, connection_made_while_the_process_stood_still_is_used)
+{
+    asio::io_context context;
+    tcp::acceptor acceptor{context, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
+    target_connection_pool pool;
+    field_names names;
+    names.request_id = "X-Id";
+    names.receipt = "X-Receipt";
+    std::optional<send_result> result;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            target_request request{"t",   {{0x7f000001}, acceptor.local_endpoint().port()},
+                                   "1",   "GET / HTTP/1.1\r\nX-Id: 1\r\n\r\n",
+                                   false, 1s,
+                                   20ms,  &names,
+                                   {}};
+            result =
+                co_await send_to_target(pool, std::make_shared<send_control>(), std::move(request));
+        },
+        asio::detached);
+    context.run_one_for(1s);
+    tcp::socket target{context};
+    acceptor.accept(target);
+    std::this_thread::sleep_for(50ms);
+    context.run_for(50ms);
+    CHECK_FALSE(result.has_value());
+    asio::write(target, asio::buffer(std::string{"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Receipt: r\r\n"
+                                                 "Content-Length: 0\r\n\r\n"}));
+    context.restart();
+    context.run_for(200ms);
+    CHECK_TRUE(result.has_value());
+    CHECK_TRUE(result->outcome == send_outcome::answered);
+}
