Keep both connections of two processes that dial each other

Entry hosts that have requests for each other dial at the same time. The connection of the host with the smaller name replaced the other one, and both hosts took that for the loss of the peer: one gave up the requests that it had forwarded, and answered 502 where they may run once; the other closed its connections to the targets at work on them.

Now both connections stay. Each process goes on sending over the one that it had and receives over both, so that nothing on its way is lost and the order of what is sent is kept. The second one takes over, with a loss reported, when the first ends; a new connection from the same side, or from another life of the peer, still replaces the old one.

The test failed before: peer_link_test.cpp:231: error: Failure in TEST(peer_link, second_connection_of_a_connected_peer_loses_nothing) CHECK_TRUE(run_until(context, [&] { return b.got.size() == 2; })) failed

--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -44,12 +44,23 @@
     // Where to connect; a row without it only takes what the peer itself connects.
     std::optional<endpoint> where;
     bool at_once{};
+    // Frames are sent over this one.
     std::shared_ptr<peer_connection> live;
+    // A connection that the other process dialled while this one did, or the other way round. The
+    // peer may send over it; it takes the place of `live` when that ends.
+    std::shared_ptr<peer_connection> other;
     asio::steady_timer wake;
     std::chrono::milliseconds back_off{least_back_off};
     bool dialling{};
 };
 
+// Returns whether two processes, each in the same life as before, dialled each other at the same
+// time.
+bool is_simultaneous(const peer_connection& next, const peer_connection& present)
+{
+    return next.peer_life() == present.peer_life() && next.was_dialled() != present.was_dialled();
+}
+
 } // namespace
 
 struct peer_link::state : std::enable_shared_from_this<peer_link::state> {
@@ -71,7 +82,9 @@
 
     bool greeted(const std::shared_ptr<peer_connection>& connection,
                  const std::string& expected_name);
-    bool supersedes(const peer_connection& next, const peer_connection& present) const;
+    // Makes a connection the one over which frames are sent to its peer.
+    void use(const std::shared_ptr<peer_row>& row,
+             const std::shared_ptr<peer_connection>& connection);
     bool received(const peer_connection& from, const wire::frame& frame);
     void closed(const std::shared_ptr<peer_connection>& connection, const std::string& reason);
     void report(const peer_connection& connection, bool connected, std::string_view reason);
@@ -203,34 +216,39 @@
         return false;
     }
     const auto row = this->row_of(name);
-    if (row->live && !this->supersedes(*connection, *row->live)) {
-        return false;
+    if (row->live && is_simultaneous(*connection, *row->live)) {
+        if (const auto old = std::exchange(row->other, connection)) {
+            old->close("superseded by a newer connection");
+        }
+        return true;
     }
+    // The process that dialled the present connection has lost it, or ended.
     if (const auto old = std::exchange(row->live, nullptr)) {
         this->report(*old, false, "superseded by a newer connection");
         old->close("superseded by a newer connection");
     }
-    row->live = connection;
-    row->back_off = least_back_off;
-    row->wake.cancel();
-    LOG4CPLUS_INFO(this->log, "Connected to " << name << ".");
-    this->report(*connection, true, {});
+    if (const auto old = std::exchange(row->other, nullptr)) {
+        old->close("superseded by a newer connection");
+    }
+    this->use(row, connection);
     return true;
 }
 
-bool peer_link::state::supersedes(const peer_connection& next, const peer_connection& present) const
+void peer_link::state::use(const std::shared_ptr<peer_row>& row,
+                           const std::shared_ptr<peer_connection>& connection)
 {
-    const bool smaller_dials = this->connects_first(next.peer_name());
-    const bool next_is_smaller = next.was_dialled() == smaller_dials;
-    const bool present_is_smaller = present.was_dialled() == smaller_dials;
-    const bool same_life = next.peer_life() == present.peer_life();
-    return next_is_smaller || !present_is_smaller || !same_life;
+    row->live = connection;
+    row->back_off = least_back_off;
+    row->wake.cancel();
+    LOG4CPLUS_INFO(this->log, "Connected to " << row->name << ".");
+    this->report(*connection, true, {});
 }
 
 bool peer_link::state::received(const peer_connection& from, const wire::frame& frame)
 {
-    const auto live = this->live_to(from.peer_name());
-    if (live.get() != &from) {
+    const auto found = this->rows.find(from.peer_name());
+    if (found == this->rows.end() ||
+        (found->second->live.get() != &from && found->second->other.get() != &from)) {
         return true;
     }
     const auto& handler = this->handlers.at(static_cast<std::size_t>(frame.kind));
@@ -252,17 +270,27 @@
 {
     std::erase(this->nameless, connection);
     const auto found = this->rows.find(connection->peer_name());
-    if (found == this->rows.end() || found->second->live != connection) {
+    if (found == this->rows.end()) {
         return;
     }
     const auto row = found->second;
+    if (row->other == connection) {
+        row->other = nullptr;
+        return;
+    }
+    if (row->live != connection) {
+        return;
+    }
     row->live = nullptr;
     row->wake.cancel();
-    if (!row->where) {
-        this->rows.erase(found);
-    }
     LOG4CPLUS_INFO(this->log, "Lost " << connection->peer_name() << ": " << reason << ".");
     this->report(*connection, false, reason);
+    if (const auto next = std::exchange(row->other, nullptr)) {
+        this->use(row, next);
+    }
+    else if (!row->where && !row->live) {
+        this->rows.erase(row->name);
+    }
 }
 
 void peer_link::state::report(const peer_connection& connection, bool connected,
@@ -330,6 +358,9 @@
                 asio::detached);
         }
         if (!row->where && row->live && row->dialling) {
+            if (const auto other = std::exchange(row->other, nullptr)) {
+                other->close("no longer a peer");
+            }
             row->live->close("no longer a peer");
         }
         if (!row->where) {
@@ -365,6 +396,7 @@
     std::size_t total = 0;
     for (const auto& [name, row] : this->self->rows) {
         total += row->live ? row->live->queued_bytes() : 0;
+        total += row->other ? row->other->queued_bytes() : 0;
     }
     return total;
 }
@@ -380,8 +412,10 @@
     for (const auto& [name, row] : rows) {
         row->where.reset();
         row->wake.cancel();
-        if (const auto live = std::exchange(row->live, nullptr)) {
-            live->close("stopped");
+        for (auto* each : {&row->live, &row->other}) {
+            if (const auto connection = std::exchange(*each, nullptr)) {
+                connection->close("stopped");
+            }
         }
     }
     const auto nameless = std::exchange(this->self->nameless, {});
--- a/bth/shell/peer_link.h
+++ b/bth/shell/peer_link.h
@@ -1,4 +1,4 @@
-// Links between the processes of the system: one TCP connection for each pair, with frames of
+// Links between the processes of the system: a TCP connection for each pair, with frames of
 // bth/wire. The link carries payloads and knows nothing of their meaning.
 //
 //   auto link = std::make_shared<peer_link>(executor, peer_link_settings{"entry-a", life});
@@ -11,8 +11,9 @@
 //
 // Nothing is kept for a peer that isn't connected: what must arrive is sent again by its owner. Of
 // two processes that know each other the one with the smaller name connects, the other only after
-// some delay; if both did, the connection of the smaller name stays. A process that isn't in the
-// peer set may connect and is answered under the name it states.
+// some delay. If both did, both connections stay: each process goes on sending over the one that it
+// had first and receives over both, so that nothing that is on its way is lost. A process that
+// isn't in the peer set may connect and is answered under the name it states.
 #pragma once
 
 #include "bth/base/endpoint.h"
--- a/bth/shell/peer_link_test.cpp
+++ b/bth/shell/peer_link_test.cpp
@@ -66,6 +66,30 @@
     return bth::shell::from_asio(acceptor->local_endpoint());
 }
 
+// A connection that a process dialled, as seen by the peer that accepted it.
+class raw_connection {
+public:
+    raw_connection(boost::asio::io_context& context, const bth::endpoint& to,
+                   const std::string& name, std::uint64_t life)
+        : socket{context}
+    {
+        this->socket.connect(bth::shell::to_asio(to));
+        boost::asio::write(this->socket, boost::asio::buffer(bth::wire::encode_hello(
+                                             name, bth::incarnation{life})));
+    }
+
+    void send(const std::string& text)
+    {
+        boost::asio::write(this->socket,
+                           boost::asio::buffer(bth::wire::encode_frame(
+                               frame_kind::membership,
+                               {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()})));
+    }
+
+private:
+    boost::asio::ip::tcp::socket socket;
+};
+
 // The logging library keeps its loggers until the process ends; they are made outside of the leak
 // check, which covers all else.
 void make_loggers()
@@ -187,3 +211,28 @@
     link->stop();
     b.link->stop();
 }
+
+// Two processes that connect to each other at the same time: each connection is in use by its own
+// dialler when the other one arrives.
+TEST(peer_link, second_connection_of_a_connected_peer_loses_nothing)
+{
+    link_process a{context, "a", 1};
+    link_process b{context, "b", 2};
+    const auto at_a = free_endpoint(context);
+    CHECK_TRUE(a.link->listen(at_a).has_value());
+    const auto at_b = free_endpoint(context);
+    CHECK_TRUE(b.link->listen(at_b).has_value());
+    b.link->set_peers({{"a", at_a, true}});
+    CHECK_TRUE(run_until(context, [&] { return a.connects == 1 && b.connects == 1; }));
+    raw_connection dialled_by_a{context, at_b, "a", 1};
+    dialled_by_a.send("over the second");
+    CHECK_TRUE(run_until(context, [&] { return b.got.size() == 1; }));
+    CHECK_TRUE(a.send("b", "over the first"));
+    CHECK_TRUE(run_until(context, [&] { return b.got.size() == 2; }));
+    CHECK_TRUE(b.got.back() == "a:over the first");
+    CHECK_EQUAL(0, b.losses);
+    CHECK_EQUAL(1, b.connects);
+    CHECK_EQUAL(0, a.losses);
+    a.link->stop();
+    b.link->stop();
+}
