Don't take another host's end of a request for the caller's leaving

A host that ends a request which was forwarded to it, because its connection to the first host was lost, sends the outcome "abandoned" over the next connection. The first host believed that its caller had left: it didn't try again, and answered 504 to a caller that was there. The outcome now counts as a broken attempt.

A second test covers the whole chain: a second connection between two hosts no longer ends a forwarded request.

--- a/bth/gateway/request_forwarder.cpp
+++ b/bth/gateway/request_forwarder.cpp
@@ -188,6 +188,10 @@
     else if (auto* outcome = std::get_if<handoff_outcome>(&*decoded)) {
         const auto found = this->pending.find(outcome->id);
         if (found != this->pending.end() && found->second->host == from.name) {
+            if (outcome->result.outcome == dispatch::send_outcome::abandoned) {
+                // The other host ended the request; its caller still waits here.
+                outcome->result.outcome = dispatch::send_outcome::broken;
+            }
             found->second->outcome = std::move(*outcome);
             found->second->timer.cancel();
         }
--- a/bth/gateway/request_forwarder_test.cpp
+++ b/bth/gateway/request_forwarder_test.cpp
@@ -2,6 +2,7 @@
 
 #include "bth/shell/log.h"
 #include "bth/shell/net.h"
+#include "bth/wire/frame.h"
 
 #include <memory>
 #include <string>
@@ -9,6 +10,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -34,7 +39,8 @@
     return log;
 }
 
-// An entry host that answers forwarded requests with status 200, and connects on demand.
+// An entry host that connects on demand, and replies to forwarded requests with `outcome` after
+// `reply_delay`.
 struct forwarding_host {
     forwarding_host(asio::io_context& context, bth::shell::event_log& events,
                     const std::string& name)
@@ -43,13 +49,21 @@
           forwarder{std::make_shared<request_forwarder>(
               context, this->link, [this](const std::string& host) { this->use(host); }, events,
               this->metrics,
-              [](std::shared_ptr<const handoff_request>,
-                 std::shared_ptr<send_control>) -> asio::awaitable<handoff_outcome> {
-                  handoff_outcome out;
-                  out.at_target = 2;
-                  co_return out;
+              [this, &context](
+                  std::shared_ptr<const handoff_request>,
+                  std::shared_ptr<send_control> control) -> asio::awaitable<handoff_outcome> {
+                  asio::steady_timer timer{context, this->reply_delay};
+                  control->close = [&timer] {
+                      timer.cancel();
+                  };
+                  boost::system::error_code ignored;
+                  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+                  control->close = nullptr;
+                  this->was_cancelled = control->aborted();
+                  co_return this->outcome;
               })}
     {
+        this->outcome.at_target = 2;
         this->forwarder->start();
     }
     ~forwarding_host()
@@ -76,6 +90,9 @@
     std::shared_ptr<request_forwarder> forwarder;
     bth::shell::peer_address other;
     int uses{};
+    std::chrono::milliseconds reply_delay{0};
+    handoff_outcome outcome;
+    bool was_cancelled{};
 };
 
 struct forward_result {
@@ -83,27 +100,43 @@
     std::optional<handoff_outcome> outcome;
 };
 
-// Forwards a request and runs until it has ended; the bound only stops a test that would never end.
-forward_result forward(asio::io_context& context, forwarding_host& from, const std::string& to)
+std::shared_ptr<forward_result> start_forward(asio::io_context& context, forwarding_host& from,
+                                              const std::string& to, bool at_most_once = false)
 {
     auto result = std::make_shared<forward_result>();
     asio::co_spawn(
         context,
-        [forwarder = from.forwarder, to, result]() -> asio::awaitable<void> {
+        [forwarder = from.forwarder, to, result, at_most_once]() -> asio::awaitable<void> {
             handoff_request request;
             request.target = "t1";
+            request.at_most_once = at_most_once;
             auto control = std::make_shared<send_control>();
             result->outcome =
                 co_await forwarder->forward(to, std::move(request), std::move(control));
             result->ended = true;
         },
         asio::detached);
+    return result;
+}
+
+// Runs until `done`; the bound only stops a test that would never end.
+template <class Done>
+bool run_until(asio::io_context& context, Done done)
+{
     constexpr std::chrono::seconds bound{20};
     const auto end = std::chrono::steady_clock::now() + bound;
-    while (!result->ended && std::chrono::steady_clock::now() < end) {
+    while (!done() && std::chrono::steady_clock::now() < end) {
         context.restart();
         context.run_one_for(100ms);
     }
+    return done();
+}
+
+// Forwards a request and runs until it has ended.
+forward_result forward(asio::io_context& context, forwarding_host& from, const std::string& to)
+{
+    const auto result = start_forward(context, from, to);
+    run_until(context, [&] { return result->ended; });
     return *result;
 }
 
@@ -158,3 +191,42 @@
     CHECK_FALSE(caller.forwarder->is_usable("b"));
     CHECK_TRUE(caller.forwarder->is_usable("c"));
 }
+
+TEST(request_forwarder, second_connection_between_two_hosts_ends_no_request)
+{
+    asio::io_context context;
+    forwarding_host owner{context, events(), "a"};
+    forwarding_host caller{context, events(), "b"};
+    const auto at_owner = free_endpoint(context);
+    CHECK_TRUE(owner.link->listen(at_owner).has_value());
+    const auto at_caller = free_endpoint(context);
+    CHECK_TRUE(caller.link->listen(at_caller).has_value());
+    caller.other = {"a", at_owner, true};
+    owner.reply_delay = 200ms;
+    const auto result = start_forward(context, caller, "a");
+    CHECK_TRUE(run_until(context, [&] { return owner.forwarder->forwarded_in_flight() == 1; }));
+    // The owner was about to connect as well.
+    asio::ip::tcp::socket second{context};
+    second.connect(bth::shell::to_asio(at_caller));
+    asio::write(second, asio::buffer(bth::wire::encode_hello("a", bth::incarnation{1})));
+    CHECK_TRUE(run_until(context, [&] { return result->ended; }));
+    CHECK_TRUE(result->outcome.has_value());
+    LONGS_EQUAL(2, result->outcome->at_target);
+    CHECK_FALSE(owner.was_cancelled);
+}
+
+TEST(request_forwarder, request_that_only_the_other_host_ended_has_not_lost_its_caller)
+{
+    asio::io_context context;
+    forwarding_host caller{context, events(), "a"};
+    forwarding_host owner{context, events(), "b"};
+    const auto where = free_endpoint(context);
+    CHECK_TRUE(owner.link->listen(where).has_value());
+    caller.other = {"b", where, true};
+    owner.outcome.result.outcome = bth::dispatch::send_outcome::abandoned;
+    owner.outcome.result.may_have_run = true;
+    const auto result = forward(context, caller, "b");
+    CHECK_TRUE(result.outcome.has_value());
+    CHECK_TRUE(result.outcome->result.may_have_run);
+    CHECK_TRUE(result.outcome->result.outcome == bth::dispatch::send_outcome::broken);
+}
