--- a/bth/gateway/request_forwarder.cpp
+++ b/bth/gateway/request_forwarder.cpp
@@ -37,13 +37,29 @@
 // gone for about as long.
 constexpr std::chrono::milliseconds unreachable_time{2000};
 
+std::string_view name_of(forward_end why)
+{
+    switch (why) {
+    case forward_end::replied:
+        return "replied";
+    case forward_end::cancelled:
+        return "cancelled";
+    case forward_end::peer_lost:
+        return "peer_lost";
+    case forward_end::peer_silent:
+        return "peer_silent";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 request_forwarder::request_forwarder(asio::io_context& context,
                                      std::shared_ptr<shell::peer_link> link, use_handler use_host,
-                                     shell::event_log& events, request_handler serve)
+                                     shell::event_log& events, gateway_metrics& metrics,
+                                     request_handler serve)
     : context{&context}, link{std::move(link)}, use_host{std::move(use_host)}, events{&events},
-      serve{std::move(serve)}, timer{context}
+      metrics{&metrics}, serve{std::move(serve)}, timer{context}
 {}
 
 void request_forwarder::start()
@@ -52,9 +68,10 @@
                          [self = shared_from_this()](const auto& from, auto payload) {
                              return self->receive(from, payload);
                          });
-    this->link->on_change([self = shared_from_this()](const auto& peer, bool connected) {
-        self->update_peer(peer, connected);
-    });
+    this->link->on_change(
+        [self = shared_from_this()](const auto& peer, bool connected, std::string_view) {
+            self->update_peer(peer, connected);
+        });
     asio::co_spawn(
         *this->context, [self = shared_from_this()] { return self->monitor_peers(); },
         asio::detached);
@@ -105,44 +122,87 @@
                             {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
 }
 
-asio::awaitable<std::optional<handoff_outcome>>
+asio::awaitable<request_forwarder::forward_reply>
 request_forwarder::forward(std::string host, handoff_request request,
                            std::shared_ptr<send_control> control)
 {
     const auto self = shared_from_this();
     request.id = this->next_id++;
     const auto id = request.id;
+    const auto entry = std::make_shared<pending_forward>(*this->context);
+    entry->host = host;
+    entry->request_id = request.request_id;
+    entry->at_most_once = request.at_most_once;
     const handoff_message message{std::move(request)};
     const bool connected = co_await this->connect(host);
     if (!connected || control->aborted() || !this->send(host, message)) {
-        co_return std::nullopt;
+        co_return forward_reply{};
     }
-    const auto pending_entry = std::make_shared<pending_forward>(*this->context);
-    pending_entry->host = host;
-    pending_entry->sent_at = shell::monotonic_now();
-    pending_entry->timer.expires_at(std::chrono::steady_clock::time_point::max());
-    this->pending.emplace(id, pending_entry);
-    control->close = [this, id, host] {
-        const auto found = this->pending.find(id);
-        if (found != this->pending.end()) {
-            found->second->timer.cancel();
-            this->send(host, handoff_cancel{id});
-        }
+    entry->sent_at = shell::monotonic_now();
+    entry->timer.expires_at(std::chrono::steady_clock::time_point::max());
+    this->pending.emplace(id, entry);
+    control->close = [this, id] {
+        this->cancel(id);
     };
-    if (!pending_entry->outcome) {
-        boost::system::error_code error;
-        co_await pending_entry->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    }
+    boost::system::error_code error;
+    co_await entry->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     control->close = nullptr;
-    this->pending.erase(id);
-    if (pending_entry->outcome) {
-        co_return std::move(pending_entry->outcome);
+    if (entry->outcome) {
+        co_return forward_reply{std::move(entry->outcome), nullptr};
+    }
+    const auto why = entry->end.value_or(forward_end::peer_silent);
+    this->metrics->count_forward_given_up(name_of(why));
+    this->events->write(shell::event{"forward_given_up"}
+                            .with("request", entry->request_id)
+                            .with("host", host)
+                            .with("why", name_of(why))
+                            .with("waited_ms", shell::monotonic_now() - entry->sent_at));
+    // The other host may have sent the request.
+    forward_reply out;
+    out.outcome.emplace();
+    out.outcome->id = id;
+    out.outcome->result = unanswered_result(*control, true);
+    if (!entry->end) {
+        out.late = std::make_shared<late_reply>(weak_from_this(), id, entry);
+    }
+    co_return out;
+}
+
+void request_forwarder::end_wait(std::uint64_t id, forward_end why)
+{
+    const auto found = this->pending.find(id);
+    if (found == this->pending.end()) {
+        return;
+    }
+    const auto entry = found->second;
+    this->pending.erase(found);
+    entry->end = why;
+    entry->timer.cancel();
+    if (entry->on_end) {
+        entry->on_end();
+    }
+}
+
+void request_forwarder::cancel(std::uint64_t id)
+{
+    const auto found = this->pending.find(id);
+    if (found != this->pending.end()) {
+        this->send(found->second->host, handoff_cancel{id});
+        this->end_wait(id, forward_end::cancelled);
+    }
+}
+
+request_forwarder::late_reply::late_reply(std::weak_ptr<request_forwarder> forwarder,
+                                          std::uint64_t id, std::shared_ptr<pending_forward> entry)
+    : forwarder{std::move(forwarder)}, id{id}, entry{std::move(entry)}
+{}
+
+request_forwarder::late_reply::~late_reply()
+{
+    this->entry->on_end = nullptr;
+    if (const auto owner = this->forwarder.lock()) {
+        owner->cancel(this->id);
     }
-    // The request was cancelled or the owner was lost; the owner may have sent the request.
-    handoff_outcome unknown;
-    unknown.id = id;
-    unknown.result = unanswered_result(*control, true);
-    co_return unknown;
 }
 
 bool request_forwarder::receive(const shell::peer_identity& from, wire::byte_view payload)
@@ -163,15 +223,26 @@
     else if (auto* outcome = std::get_if<handoff_outcome>(&*decoded)) {
         const auto found = this->pending.find(outcome->id);
         if (found != this->pending.end() && found->second->host == from.name) {
+            if (outcome->result.outcome == dispatch::send_outcome::abandoned) {
+                // The other host ended the request; its caller still waits here.
+                outcome->result.outcome = dispatch::send_outcome::broken;
+            }
             found->second->outcome = std::move(*outcome);
-            found->second->timer.cancel();
+            this->end_wait(found->first, forward_end::replied);
+        }
+        else {
+            this->events->write(
+                shell::event{"outcome_unclaimed"}
+                    .with("host", from.name)
+                    .with("answered", outcome->result.response.has_value())
+                    .with("took_ms", std::chrono::duration_cast<duration>(outcome->took)));
         }
     }
     else if (const auto* cancel = std::get_if<handoff_cancel>(&*decoded)) {
         const auto found = this->serving.find({from.name, cancel->id});
         if (found != this->serving.end()) {
-            found->second->caller_disconnected = true;
-            found->second->abort();
+            found->second.control->caller_disconnected = true;
+            found->second.control->abort();
         }
     }
     else if (const auto* ping = std::get_if<handoff_ping>(&*decoded);
@@ -185,7 +256,8 @@
 {
     const auto shared_request = std::make_shared<const handoff_request>(std::move(request));
     const auto control = std::make_shared<send_control>();
-    this->serving[{from, shared_request->id}] = control;
+    this->serving[{from, shared_request->id}] = {control, shared_request->request_id,
+                                                 shell::monotonic_now()};
     asio::co_spawn(
         *this->context,
         [self = shared_from_this(), from, shared_request, control] {
@@ -217,25 +289,41 @@
     this->peers.erase(peer.name);
     this->fail_pending(peer.name);
     // The disconnected host can't receive the outcomes of the requests that it forwarded.
-    for (const auto& [key, control] : this->serving) {
+    for (const auto& [key, served] : this->serving) {
         if (key.first == peer.name) {
-            control->caller_disconnected = true;
-            control->abort();
+            this->events->write(shell::event{"forwarded_cut"}
+                                    .with("request", served.request_id)
+                                    .with("host", peer.name)
+                                    .with("age_ms", shell::monotonic_now() - served.accepted_at));
+            served.control->caller_disconnected = true;
+            served.control->abort();
         }
     }
 }
 
 void request_forwarder::fail_pending(const std::string& host)
 {
-    std::size_t count = 0;
+    std::vector<std::uint64_t> ids;
     for (const auto& [id, entry] : this->pending) {
         if (entry->host == host) {
-            ++count;
-            entry->timer.cancel();
+            ids.push_back(id);
         }
     }
-    if (count > 0) {
-        this->events->write(shell::event{"owner_lost"}.with("host", host).with("requests", count));
+    for (const auto id : ids) {
+        this->end_wait(id, forward_end::peer_lost);
+    }
+    if (!ids.empty()) {
+        this->events->write(
+            shell::event{"owner_lost"}.with("host", host).with("requests", ids.size()));
+    }
+}
+
+void request_forwarder::release_pending(const std::string& host)
+{
+    for (const auto& [id, entry] : this->pending) {
+        if (entry->host == host && !entry->at_most_once) {
+            entry->timer.cancel();
+        }
     }
 }
 
@@ -280,7 +368,7 @@
                                         .with("host", host)
                                         .with("heard_age_ms", now - peer.last_received),
                                     shell::event_weight::essential);
-                this->fail_pending(host);
+                this->release_pending(host);
             }
         }
         this->ping_unresponsive_peers(now);
