Let the soak judge requests that a stopping host gives up itself

The soak judged only requests that end without an answer around a stop. It now also counts those at targets that the stopping host answers 502 or 504 before their time is over, where no target and no other host is disturbed. Its faults of targets are noted as such.

--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -263,7 +263,7 @@
         self.ended = threading.Event()
         self.disturbed = {name: [] for domain in DOMAINS for name in (domain, f"control-{domain}")}
         self.one_disk, self.numbering, self.starting = threading.Lock(), threading.Lock(), threading.Lock()
-        self.disturbed["links"] = []
+        self.disturbed["links"], self.disturbed["targets"] = [], []
         self.begun_of = {}
         self.routes = dict(ROUTES)
         self.acknowledged, self.denied = [], set()
@@ -439,9 +439,10 @@
 
     def change_target(self, mode, length, pick):
         target = self.some(self.fleet.targets, pick)
-        target.mode = mode
-        time.sleep(length)
-        target.mode = "serve"
+        with self.disturbing("targets"):
+            target.mode = mode
+            time.sleep(length)
+            target.mode = "serve"
 
     def shed(self, length, pick):
         self.change_target("shed", length, pick)
@@ -480,14 +481,18 @@
         self.crashing_paths.append(path)
         ends = time.monotonic() + CONTACT_S + length
         chance = random.Random(pick)
-        while time.monotonic() < ends:
-            with contextlib.suppress(OSError, harness.http.client.HTTPException):
-                self.fleet.send(chance.choice(list(DOMAINS)), path, timeout=8)
-            time.sleep(0.1)
+        with self.disturbing("targets"):
+            while time.monotonic() < ends:
+                with contextlib.suppress(OSError, harness.http.client.HTTPException):
+                    self.fleet.send(chance.choice(list(DOMAINS)), path, timeout=8)
+                time.sleep(0.1)
+            time.sleep(Target.DOWN_S)
 
     def crash_by_chance(self, _length, pick):
-        for target in random.Random(pick).sample(self.fleet.targets, len(self.fleet.targets) // 2):
-            target.crash()
+        with self.disturbing("targets"):
+            for target in random.Random(pick).sample(self.fleet.targets, len(self.fleet.targets) // 2):
+                target.crash()
+            time.sleep(Target.DOWN_S)
 
     def cut_off(self, length, pick):
         domain = self.some(DOMAINS, pick)
@@ -751,6 +756,14 @@
             if cut:
                 self.findings.append(f"{begun - self.begun:.1f}s the stop of {domain} cuts {len(cut)} requests that reached a target, "
                                      f"the first sent {cut[0].sent - begun:.2f}s after the signal")
+            if any(self.was_disturbed(each, since, ended) for each in ("targets", *DOMAINS) if each != domain):
+                continue
+            given_up = [each for each_domain, each in self.kept_requests
+                        if each_domain == domain and each.status in (502, 504) and each.number in arrived
+                        and begun <= each.ended <= ended + SLACK and each.ended - each.sent < TIMEOUT]
+            if given_up:
+                self.findings.append(f"{begun - self.begun:.1f}s {domain}, which stops, gives up {len(given_up)} requests at targets, "
+                                     f"the first after {given_up[0].ended - given_up[0].sent:.2f}s")
 
     def check_customers(self):
         arrivals = [each for target in self.fleet.targets for each in target.arrivals()]
