Don't go on sending over a connection that the peer has lost

Since both connections of two processes that dial each other stay, one that had lost its connection and dialled again was sent nothing over the new one while the other side hadn't noticed the loss: for up to the two seconds of TCP_USER_TIMEOUT, requests that are forwarded and all other frames went into the dead connection, and at its end the requests were given up as ones that may have run. By reading, it takes a connection that the side noticed first which didn't dial it; then the new one comes from the other direction.

A process that is connected doesn't dial, so that simultaneous connections are made within a try to connect. One that comes over a second later now replaces the present one, as before.

The test failed before: peer_link_test.cpp:276: error: Failure in TEST(peer_link, peer_that_lost_the_connection_is_sent_nothing_over_it) CHECK_TRUE(next.has_input_with("to the peer")) failed

--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -32,6 +32,9 @@
 // Several round trips between the farthest regions. An opening packet that is lost, or that reaches
 // a host before it listens or has power, is sent again after a second; a new try is faster.
 constexpr std::chrono::milliseconds connect_limit{300};
+// Two processes that dial each other at the same time have both connections within a try to connect
+// and a few round trips.
+constexpr std::chrono::milliseconds simultaneous_limit{1000};
 constexpr std::size_t max_unknown_connections = 1024;
 
 // A peer to stay connected with, or one that connected by itself.
@@ -46,6 +49,7 @@
     bool at_once{};
     // Frames are sent over this one.
     std::shared_ptr<peer_connection> live;
+    time_point live_since;
     // A connection that the other process dialled while this one did, or the other way round. The
     // peer may send over it; it takes the place of `live` when that ends.
     std::shared_ptr<peer_connection> other;
@@ -55,10 +59,13 @@
 };
 
 // Returns whether two processes, each in the same life as before, dialled each other at the same
-// time.
-bool is_simultaneous(const peer_connection& next, const peer_connection& present)
+// time. A process that is connected doesn't dial, so that one that does so later has lost the
+// present connection.
+bool is_simultaneous(const peer_connection& next, const peer_row& row)
 {
-    return next.peer_life() == present.peer_life() && next.was_dialled() != present.was_dialled();
+    return next.peer_life() == row.live->peer_life() &&
+           next.was_dialled() != row.live->was_dialled() &&
+           monotonic_now() - row.live_since < simultaneous_limit;
 }
 
 } // namespace
@@ -216,7 +223,7 @@
         return false;
     }
     const auto row = this->row_of(name);
-    if (row->live && is_simultaneous(*connection, *row->live)) {
+    if (row->live && is_simultaneous(*connection, *row)) {
         if (const auto old = std::exchange(row->other, connection)) {
             old->close("superseded by a newer connection");
         }
@@ -238,6 +245,7 @@
                            const std::shared_ptr<peer_connection>& connection)
 {
     row->live = connection;
+    row->live_since = monotonic_now();
     row->back_off = least_back_off;
     row->wake.cancel();
     LOG4CPLUS_INFO(this->log, "Connected to " << row->name << ".");
--- a/bth/shell/peer_link_test.cpp
+++ b/bth/shell/peer_link_test.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -86,6 +87,14 @@
                                {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()})));
     }
 
+    // Returns whether what has arrived and wasn't read before holds `text`.
+    bool has_input_with(const std::string& text)
+    {
+        std::string input(this->socket.available(), '\0');
+        boost::asio::read(this->socket, boost::asio::buffer(input));
+        return input.find(text) != std::string::npos;
+    }
+
 private:
     boost::asio::ip::tcp::socket socket;
 };
@@ -236,3 +245,34 @@
     a.link->stop();
     b.link->stop();
 }
+
+// A process that is connected doesn't dial, so that one that does has lost the connection.
+TEST(peer_link, peer_that_lost_the_connection_is_sent_nothing_over_it)
+{
+    link_process b{context, "b", 2};
+    boost::asio::ip::tcp::acceptor old_listener{context,
+                                                {boost::asio::ip::address_v4::loopback(), 0}};
+    const auto at_a = bth::shell::from_asio(old_listener.local_endpoint());
+    const auto at_b = free_endpoint(context);
+    CHECK_TRUE(b.link->listen(at_b).has_value());
+    b.link->set_peers({{"a", at_a, true}});
+    boost::asio::ip::tcp::socket lost{context};
+    bool accepted = false;
+    old_listener.async_accept(lost,
+                              [&](const boost::system::error_code& error) { accepted = !error; });
+    CHECK_TRUE(run_until(context, [&] { return accepted; }));
+    boost::asio::write(lost,
+                       boost::asio::buffer(bth::wire::encode_hello("a", bth::incarnation{1})));
+    CHECK_TRUE(run_until(context, [&] { return b.connects == 1; }));
+    const auto connected_at = std::chrono::steady_clock::now();
+    run_until(context, [&] {
+        return std::chrono::steady_clock::now() - connected_at > std::chrono::milliseconds{1500};
+    });
+    raw_connection next{context, at_b, "a", 1};
+    next.send("over the next");
+    CHECK_TRUE(run_until(context, [&] { return b.got.size() == 1; }));
+    CHECK_TRUE(b.send("a", "to the peer"));
+    CHECK_TRUE(run_until(context, [&] { return b.link->queued_bytes("a") == 0; }));
+    CHECK_TRUE(next.has_input_with("to the peer"));
+    b.link->stop();
+}
