Don't give requests up for the loss of one of two connections

A host that has two connections to another one reported the loss of the host when the one over which it sends ended, though the other one stayed. It gave up the requests that it had forwarded, and cut those that it ran for the other host. That one, which may send over the other connection, isn't told: it went on with the requests that were given up, and its replies found nobody. Callers would see 502 while a target is at work.

The link now takes the other connection into use before it reports the loss, so that connected() tells that the peer is there. The forwarder then cuts nothing and goes on waiting for the replies. The other host may have missed the requests sent last, so that those that may be repeated are tried elsewhere, as for a host that is silent.

The test failed before: request_forwarder_test.cpp:247: error: Failure in TEST(request_forwarder, loss_of_one_of_two_connections_ends_no_request) CHECK_FALSE(result->ended) failed

--- a/bth/gateway/request_forwarder.cpp
+++ b/bth/gateway/request_forwarder.cpp
@@ -286,6 +286,12 @@
         std::for_each(first, last, [](const auto& waiting) { waiting.second->cancel(); });
         return;
     }
+    if (this->link->connected(peer.name)) {
+        // The host has another connection, so that it has lost none of the requests that it
+        // received, and replies over that one. It may have missed those that were sent last.
+        this->release_pending(peer.name);
+        return;
+    }
     this->peers.erase(peer.name);
     this->fail_pending(peer.name);
     // The disconnected host can't receive the outcomes of the requests that it forwarded.
--- a/bth/gateway/request_forwarder.h
+++ b/bth/gateway/request_forwarder.h
@@ -38,7 +38,8 @@
     cancelled,
     // The connection to the other host was lost.
     peer_lost,
-    // The other host didn't answer a ping, and the request may be sent elsewhere.
+    // The other host didn't answer a ping, or may have missed the request, and the request may be
+    // sent elsewhere.
     peer_silent,
 };
 
@@ -124,7 +125,7 @@
     void cancel(std::uint64_t id);
     // Ends the wait of all requests that were forwarded to a host which is lost.
     void fail_pending(const std::string& host);
-    // Stops waiting for the replies of a silent host to requests that may be sent elsewhere.
+    // Stops waiting for the replies of a host to requests that may be sent elsewhere.
     void release_pending(const std::string& host);
     bool send(const std::string& to, const handoff_message& message);
 
--- a/bth/gateway/request_forwarder_test.cpp
+++ b/bth/gateway/request_forwarder_test.cpp
@@ -217,6 +217,46 @@
     CHECK_FALSE(owner.was_cancelled);
 }
 
+// The other host has both connections, and sends over the one that stays.
+TEST(request_forwarder, loss_of_one_of_two_connections_ends_no_request)
+{
+    asio::io_context context;
+    forwarding_host caller{context, events(), "a"};
+    const auto at_caller = free_endpoint(context);
+    CHECK_TRUE(caller.link->listen(at_caller).has_value());
+    asio::ip::tcp::acceptor owner{context, {asio::ip::address_v4::loopback(), 0}};
+    caller.other = {"b", bth::shell::from_asio(owner.local_endpoint()), true};
+    asio::ip::tcp::socket first{context};
+    bool accepted = false;
+    owner.async_accept(first, [&](const boost::system::error_code& error) { accepted = !error; });
+    const auto result = start_forward(context, caller, "b", true);
+    CHECK_TRUE(run_until(context, [&] { return accepted; }));
+    const auto hello = bth::wire::encode_hello("b", bth::incarnation{1});
+    asio::write(first, asio::buffer(hello));
+    CHECK_TRUE(run_until(context, [&] { return caller.link->connected("b"); }));
+    asio::ip::tcp::socket second{context};
+    second.connect(bth::shell::to_asio(at_caller));
+    asio::write(second, asio::buffer(hello));
+    const auto run_for = [&](std::chrono::milliseconds time) {
+        const auto started_at = std::chrono::steady_clock::now();
+        run_until(context, [&] { return std::chrono::steady_clock::now() - started_at > time; });
+    };
+    run_for(200ms);
+    first.close();
+    run_for(200ms);
+    CHECK_FALSE(result->ended);
+    handoff_outcome outcome;
+    outcome.id = 1;
+    outcome.at_target = 2;
+    const auto payload = encode_handoff(handoff_message{outcome});
+    asio::write(second,
+                asio::buffer(bth::wire::encode_frame(
+                    bth::wire::frame_kind::stream,
+                    {reinterpret_cast<const std::uint8_t*>(payload.data()), payload.size()})));
+    CHECK_TRUE(run_until(context, [&] { return result->ended; }));
+    LONGS_EQUAL(2, result->outcome->at_target);
+}
+
 // A host that gets no processor time for longer than its reply to a ping may take.
 struct starved_host {
     starved_host()
--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -289,11 +289,13 @@
     if (row->live != connection) {
         return;
     }
-    row->live = nullptr;
+    // The peer isn't told of this, and goes on using the other connection.
+    const auto next = std::exchange(row->other, nullptr);
+    row->live = next;
     row->wake.cancel();
     LOG4CPLUS_INFO(this->log, "Lost " << connection->peer_name() << ": " << reason << ".");
     this->report(*connection, false, reason);
-    if (const auto next = std::exchange(row->other, nullptr)) {
+    if (next && row->live == next) {
         this->use(row, next);
     }
     else if (!row->where && !row->live) {
--- a/bth/shell/peer_link.h
+++ b/bth/shell/peer_link.h
@@ -58,7 +58,8 @@
 using frame_handler = std::function<bool(const peer_identity& from, wire::byte_view payload)>;
 
 // A connection to a peer was made, or is gone; `reason` tells why it is gone, valid during the call
-// only.
+// only. A peer that is still connected() when a connection to it is gone has another one, over
+// which it may go on sending; frames to it may be lost.
 using peer_change_handler =
     std::function<void(const peer_identity& peer, bool connected, std::string_view reason)>;
 
