Dial a peer again only once its hello is overdue

Of two connections from the same side the later one replaces the earlier one, since its dialler must have lost that. But a process dialled again 50 ms after a connection was made, while the peer's hello was on its way: behind a full link, or from a process that lacks processor time, it takes longer. Both connections were then greeted, and with the second one both hosts gave up and cut each other's requests.

A connection that is made now has a second for its hello before the peer is dialled again, and is closed first.

The test failed before: peer_link_test.cpp:301: error: Failure in TEST(peer_link, peer_that_says_hello_late_is_dialled_once) expected <1> but was <3>

--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -32,6 +32,9 @@
 // Several round trips between the farthest regions. An opening packet that is lost, or that reaches
 // a host before it listens or has power, is sent again after a second; a new try is faster.
 constexpr std::chrono::milliseconds connect_limit{300};
+// Time for the hello of a process that has accepted a connection, which may lack processor time or
+// be behind a full link. One that was cut off meanwhile is dialled again after it.
+constexpr std::chrono::milliseconds greeting_limit{1000};
 // Two processes that dial each other at the same time have both connections within a try to connect
 // and a few round trips.
 constexpr std::chrono::milliseconds simultaneous_limit{1000};
@@ -47,6 +50,8 @@
     // Where to connect; a row without it only takes what the peer itself connects.
     std::optional<endpoint> where;
     bool at_once{};
+    // A connection that was dialled and whose peer hasn't said hello yet.
+    std::shared_ptr<peer_connection> greeting;
     // Frames are sent over this one.
     std::shared_ptr<peer_connection> live;
     time_point live_since;
@@ -85,7 +90,9 @@
     asio::awaitable<void> accept_all();
     asio::awaitable<void> keep_connected(std::shared_ptr<peer_row> row);
     asio::awaitable<void> dial(std::shared_ptr<peer_row> row);
-    void open(asio::ip::tcp::socket socket, bool dialled, const std::string& expected_name);
+    asio::awaitable<void> await_greeting(std::shared_ptr<peer_row> row);
+    std::shared_ptr<peer_connection> open(asio::ip::tcp::socket socket, bool dialled,
+                                          const std::string& expected_name);
 
     bool greeted(const std::shared_ptr<peer_connection>& connection,
                  const std::string& expected_name);
@@ -161,12 +168,30 @@
         if (!row->live && row->where && !this->stopped) {
             co_await this->dial(row);
         }
+        co_await this->await_greeting(row);
         wait = row->back_off;
         row->back_off = std::min(2 * row->back_off, most_back_off);
     }
     row->dialling = false;
 }
 
+// Waits until the peer has said hello on the connection that was dialled, if there is one. Dialled
+// again before that, the peer would have two connections from here, and take the second one for
+// the end of the first.
+asio::awaitable<void> peer_link::state::await_greeting(std::shared_ptr<peer_row> row)
+{
+    const auto limit = std::chrono::steady_clock::now() + greeting_limit;
+    while (row->greeting && row->where && !this->stopped &&
+           std::chrono::steady_clock::now() < limit) {
+        boost::system::error_code ignored;
+        row->wake.expires_at(limit);
+        co_await row->wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (const auto silent = row->greeting) {
+        silent->close("no hello came in time");
+    }
+}
+
 asio::awaitable<void> peer_link::state::dial(std::shared_ptr<peer_row> row)
 {
     auto socket = std::make_shared<asio::ip::tcp::socket>(this->executor);
@@ -182,12 +207,12 @@
                                    asio::redirect_error(asio::use_awaitable, error));
     limit.cancel();
     if (!error && socket->is_open() && !this->stopped) {
-        this->open(std::move(*socket), true, row->name);
+        row->greeting = this->open(std::move(*socket), true, row->name);
     }
 }
 
-void peer_link::state::open(asio::ip::tcp::socket socket, bool dialled,
-                            const std::string& expected_name)
+std::shared_ptr<peer_connection> peer_link::state::open(asio::ip::tcp::socket socket, bool dialled,
+                                                        const std::string& expected_name)
 {
     const std::weak_ptr<state> weak = weak_from_this();
     peer_connection::hooks hooks;
@@ -210,6 +235,7 @@
         std::move(socket), dialled, this->settings.queue_bytes, std::move(hooks));
     this->nameless.push_back(connection);
     connection->start(this->settings.name, this->settings.life);
+    return connection;
 }
 
 bool peer_link::state::greeted(const std::shared_ptr<peer_connection>& connection,
@@ -223,6 +249,10 @@
         return false;
     }
     const auto row = this->row_of(name);
+    if (row->greeting == connection) {
+        row->greeting = nullptr;
+        row->wake.cancel();
+    }
     if (row->live && is_simultaneous(*connection, *row)) {
         if (const auto old = std::exchange(row->other, connection)) {
             old->close("superseded by a newer connection");
@@ -277,6 +307,12 @@
                               const std::string& reason)
 {
     std::erase(this->nameless, connection);
+    for (const auto& [name, row] : this->rows) {
+        if (row->greeting == connection) {
+            row->greeting = nullptr;
+            row->wake.cancel();
+        }
+    }
     const auto found = this->rows.find(connection->peer_name());
     if (found == this->rows.end()) {
         return;
--- a/bth/shell/peer_link_test.cpp
+++ b/bth/shell/peer_link_test.cpp
@@ -276,3 +276,32 @@
     CHECK_TRUE(next.has_input_with("to the peer"));
     b.link->stop();
 }
+
+// Behind a full link the hello of a peer comes later than the next try to connect would begin.
+TEST(peer_link, peer_that_says_hello_late_is_dialled_once)
+{
+    link_process b{context, "b", 2};
+    boost::asio::ip::tcp::acceptor listener{context, {boost::asio::ip::address_v4::loopback(), 0}};
+    b.link->set_peers({{"a", bth::shell::from_asio(listener.local_endpoint()), true}});
+    std::vector<boost::asio::ip::tcp::socket> accepted;
+    std::function<void()> accept = [&] {
+        listener.async_accept([&](const boost::system::error_code& error, auto socket) {
+            if (!error) {
+                accepted.push_back(std::move(socket));
+                accept();
+            }
+        });
+    };
+    accept();
+    CHECK_TRUE(run_until(context, [&] { return !accepted.empty(); }));
+    const auto accepted_at = std::chrono::steady_clock::now();
+    run_until(context, [&] {
+        return std::chrono::steady_clock::now() - accepted_at > std::chrono::milliseconds{400};
+    });
+    CHECK_EQUAL(1U, accepted.size());
+    boost::asio::write(accepted.front(),
+                       boost::asio::buffer(bth::wire::encode_hello("a", bth::incarnation{1})));
+    CHECK_TRUE(run_until(context, [&] { return b.connects == 1; }));
+    CHECK_EQUAL(0, b.losses);
+    b.link->stop();
+}
