End requests that outlast a stop before the exit

A caller with several requests in flight lost the ones behind a long one: a request that came before the signal and is still at a target when the process exits holds back the answers to all requests behind it on its connection, also those that a target had answered long before. At the exit all of them were cut without an answer.

Cause: only requests that come after the signal are due before the exit. What was read before keeps its deadline, and nothing ended it but the exit itself, which leaves no time to write what waits behind it.

Evidence: the new test, on the code before:

self.assertEqual((first.status, second.status), (504, 200)) AssertionError: Tuples differ: (None, None) != (504, 200)

The target had answered the second request 0.05 s after the signal; its caller saw the connection end after 5.74 s.

Fix: 0.1 s before the exit, what callers' requests are still in flight ends as if its deadline had passed, with 504, and the answers behind it are written. A target may still be at work on the request that is ended; it would have been cut 0.1 s later.

--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -368,6 +368,16 @@
     return make_refusal_response({reason, run_state::no, retry_after_unconfigured});
 }
 
+void gateway::end_requests()
+{
+    // Requests leave the set when they end.
+    const auto requests = this->caller_requests;
+    for (const auto& control : requests) {
+        control->deadline_passed = true;
+        control->abort();
+    }
+}
+
 boost::asio::awaitable<caller_response> gateway::serve(std::shared_ptr<served_request> request)
 {
     const auto self = shared_from_this();
@@ -422,7 +432,9 @@
                limits.retry_window);
     window.count_first_attempt(request->started);
     ++this->in_flight;
+    this->caller_requests.insert(request->control);
     auto response = co_await this->send_with_retries(state);
+    this->caller_requests.erase(request->control);
     --this->in_flight;
     const auto now = shell::monotonic_now();
     this->metrics.observe_response(response.status, state.priority, now - request->started);
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -149,6 +149,8 @@
     // refused at once if they would take longer. The process must not exit before.
     void begin_stop(time_point answer_by) { this->answer_by = answer_by; }
     bool is_stopping() const { return this->answer_by.has_value(); }
+    // Ends the requests of callers that are in flight as if their deadlines had passed.
+    void end_requests();
 
     // Open connections of callers; counted by the sessions.
     std::size_t callers{};
@@ -389,6 +391,8 @@
     std::vector<fleet::relay_host> relay_hosts;
     std::shared_ptr<request_forwarder> forwarder;
     std::size_t in_flight{};
+    // The requests of callers that are being sent or wait to be sent.
+    std::set<std::shared_ptr<send_control>> caller_requests;
     std::mt19937 random{std::random_device{}()};
 };
 
--- a/bth/gateway/stop_plan.h
+++ b/bth/gateway/stop_plan.h
@@ -16,6 +16,9 @@
     duration accept_until{};
     // The responses to requests that arrive after the signal are due then.
     duration answer_by{};
+    // Requests of callers that are still in flight end then with a response of this host, so that
+    // the responses that wait behind theirs can be written.
+    duration end_requests_at{};
     // The process exits then, even if requests are still in flight.
     duration exit_by{};
 };
@@ -38,12 +41,15 @@
     // From the deadline of a request to the moment at which its caller has the response: the target
     // may answer at its deadline, and the response is written after it.
     constexpr std::chrono::milliseconds response_margin{200};
+    // From the end of the requests in flight to the exit.
+    constexpr std::chrono::milliseconds write_time{100};
     constexpr int max_lookup_age_in_ttls = 3;
     const duration lookup_expiry = look_up_ttl(max_ttl) * max_lookup_age_in_ttls;
     const duration latest_accept_until = std::max<duration>(grace - drain_time, duration{});
     const duration exit_by = std::max<duration>(grace - exit_margin, duration{});
     return {std::min(lookup_expiry, latest_accept_until),
-            std::max<duration>(exit_by - response_margin, duration{}), exit_by};
+            std::max<duration>(exit_by - response_margin, duration{}),
+            std::max<duration>(exit_by - write_time, duration{}), exit_by};
 }
 
 } // namespace bth::gateway
--- a/process_tests/platform_stop_test.py
+++ b/process_tests/platform_stop_test.py
@@ -146,6 +146,26 @@
             self.assertEqual([each for each in late if each.status == 503 and each.ended - each.sent > 1], [])
         self.assert_exits()
 
+    def test_answer_behind_a_request_that_outlasts_the_grace_time_is_not_cut(self):
+        wanted = configuration(2, ROUTES, ["orders"])
+        for route in wanted["routes"].values():
+            route["timeoutS"], route["targetLatencyS"] = 8, 4
+        self.put(wanted)
+        self.until(lambda: any(b"version=2" in line for line in self.lines(self.entries["n1"])), "the timeouts are in force")
+        for each in self.targets:
+            each.seconds = 7.5
+        connection = self.connect()
+        first = connection.send(self.next_number(), deadline_ms=8000)
+        self.until(lambda: first.number in self.arrivals(), "the request is at a target")
+        for each in self.targets:
+            each.seconds = 0.05
+        self.stop()
+        second = connection.send(self.next_number(), deadline_ms=8000)
+        self.receive_all([connection])
+        self.assertIsNotNone(self.arrivals()[second.number].answered)
+        self.assertEqual((first.status, second.status), (504, 200))
+        self.assert_exits()
+
     def test_request_read_while_the_last_answer_is_written_is_not_lost(self):
         for each in self.targets:
             each.seconds = 0.3
