State the time left when a request is written

A target whose connection took long was told more time than was left. On a stopping host such a target is still at work when the host gives up, so that callers got the host's own 504, or nothing, for a request that was running.

Cause: the request with its remaining time was composed before the connection to the target was opened, or before the request was handed to the host that sends it. What connecting took was never subtracted.

Fix: the remaining time is replaced right before the first byte is written, also in requests of other hosts, which tell how much time is left. The frames between hosts stay as they are.

--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -209,6 +209,8 @@
         std::string request_bytes;
         bool is_head{};
         bool at_most_once{};
+        // When the response is due.
+        time_point deadline;
         // Whether another host forwarded the request to this one.
         bool forwarded{};
     };
--- a/bth/gateway/gateway_contact.cpp
+++ b/bth/gateway/gateway_contact.cpp
@@ -302,6 +302,8 @@
         out.declined = decline_reason::suspect;
         co_return;
     }
+    const auto deadline =
+        shell::monotonic_now() + std::chrono::duration_cast<duration>(handoff->remaining_time);
     boost::asio::steady_timer timer{*this->context};
     timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
         handoff->remaining_time + internal::late_response_wait));
@@ -343,6 +345,7 @@
             with_expected_target(*handoff, this->header_names.expected_target, target->info().id),
             handoff->is_head,
             handoff->at_most_once,
+            deadline,
             true};
         ++this->in_flight;
         auto result = co_await this->send_directly(control, std::move(outgoing));
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -119,7 +119,8 @@
                               state.object,
                               this->request_bytes(state, target.get(), shell::monotonic_now()),
                               state.request->message.method() == http::verb::head,
-                              state.matched_route->repeat == repeatability::at_most_once};
+                              state.matched_route->repeat == repeatability::at_most_once,
+                              state.deadline};
     state.tried_targets.push_back(target);
     const auto sender = this->sending_host(*target);
     if (!sender) {
@@ -325,7 +326,8 @@
                            &this->header_names,
                            [self = shared_from_this(), target, fingerprint = outgoing.fingerprint] {
                                return self->admit_write(*target, fingerprint);
-                           }};
+                           },
+                           outgoing.deadline - target_network_delay};
     const auto failures_before = target->consecutive_failures();
     auto result =
         co_await send_to_target(this->connections, std::move(control), std::move(request));
@@ -628,6 +630,8 @@
                               handoff->request_bytes,
                               handoff->is_head,
                               handoff->at_most_once,
+                              started +
+                                  std::chrono::duration_cast<duration>(handoff->remaining_time),
                               true};
     out.result = co_await this->send_directly(control, std::move(outgoing));
     --this->in_flight;
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -2,8 +2,11 @@
 
 #include "bth/shell/net.h"
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <cstdint>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -180,6 +183,22 @@
     return out;
 }
 
+// Replaces the remaining time that a request states, if it states one.
+void set_remaining_time(std::string& request_bytes, const std::string& field, duration remaining)
+{
+    const std::string before_value = "\r\n" + field + ": ";
+    const auto head_end = request_bytes.find("\r\n\r\n");
+    const auto field_at = request_bytes.find(before_value);
+    if (head_end == std::string::npos || field_at >= head_end) {
+        return;
+    }
+    const auto value_at = field_at + before_value.size();
+    const auto value_end = request_bytes.find("\r\n", value_at);
+    const auto whole_ms = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+    request_bytes.replace(value_at, value_end - value_at,
+                          std::to_string(std::max<std::int64_t>(whole_ms, 1)));
+}
+
 // What is known of a response that was not received completely.
 struct partial_response {
     target_signals signals;
@@ -314,6 +333,10 @@
         co_return result;
     }
     set_close_handler(*control, *connection);
+    if (request.deadline) {
+        set_remaining_time(request.request_bytes, request.header_names->remaining_time_ms,
+                           *request.deadline - shell::monotonic_now());
+    }
     boost::system::error_code error;
     co_await asio::async_write(connection->socket, asio::buffer(request.request_bytes),
                                asio::redirect_error(asio::use_awaitable, error));
--- a/bth/gateway/target_send.h
+++ b/bth/gateway/target_send.h
@@ -52,6 +52,9 @@
     const field_names* header_names{};
     // Returns whether the request may be sent now; called right before its first byte.
     std::function<bool()> admit_write;
+    // When the target must have responded. The time that is left when the first byte is written
+    // replaces what `request_bytes` state as the remaining time.
+    std::optional<time_point> deadline{};
 };
 
 // The result of one attempt.
--- a/process_tests/connect_filter.cpp
+++ b/process_tests/connect_filter.cpp
@@ -1,12 +1,15 @@
 // Replaces connect() in an entry host's program that is built for tests: BTH_CONNECT_FILTER names a
-// file with a line "refuse" or "hang ADDRESS:PORT", followed by the endpoints that this concerns. A
-// connection that is to hang goes to ADDRESS:PORT instead, where nobody accepts it. Without the
-// file all connections are made as usual. BTH_CONNECT_FROM is the address that they come from;
-// without it the kernel picks one, on loopback the same one for all programs.
+// file with a line "refuse", "hang ADDRESS:PORT" or "delay MILLISECONDS", followed by the endpoints
+// that this concerns. A connection that is to hang goes to ADDRESS:PORT instead, where nobody
+// accepts it. With "delay" the process stands still before it connects. Without the file all
+// connections are made as usual. BTH_CONNECT_FROM is the address that they come from; without it
+// the kernel picks one, on loopback the same one for all programs.
 #include <cerrno>
+#include <chrono>
 #include <cstdlib>
 #include <fstream>
 #include <string>
+#include <thread>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -68,10 +71,14 @@
     std::ifstream filter{path};
     std::string mode;
     std::string silent_endpoint;
+    int delay_ms = 0;
     filter >> mode;
     if (mode == "hang") {
         filter >> silent_endpoint;
     }
+    if (mode == "delay") {
+        filter >> delay_ms;
+    }
     const auto wanted = text_of(*reinterpret_cast<const sockaddr_in*>(address));
     std::string endpoint;
     while (filter >> endpoint) {
@@ -82,6 +89,10 @@
             errno = ECONNREFUSED;
             return -1;
         }
+        if (mode == "delay") {
+            std::this_thread::sleep_for(std::chrono::milliseconds{delay_ms});
+            break;
+        }
         const auto elsewhere = parse(silent_endpoint);
         return connect_as_usual(socket, reinterpret_cast<const sockaddr*>(&elsewhere),
                                 sizeof elsewhere);
--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -213,6 +213,14 @@
                 if not keeps_open:
                     proxy.reset_connections_of(domain)
 
+    def delay_connections(self, domain, milliseconds):
+        """The entry host stands still for this long before each new connection to a target; open ones are reset."""
+        new = self.folder / f"new-filter-{domain}"
+        new.write_text("\n".join([f"delay {milliseconds}", *[each.listen for each in self.proxies]]))
+        new.replace(self.filter_of(domain))
+        for proxy in self.proxies:
+            proxy.reset_connections_of(domain)
+
     def mend(self, *domains):
         for domain in domains:
             self.filter_of(domain).unlink()
--- a/process_tests/platform_stop_relay_test.py
+++ b/process_tests/platform_stop_relay_test.py
@@ -6,7 +6,7 @@
 from kept_connection import KeptConnection
 from platform_fleet import ROUTES
 from platform_soak import ProxiedFleet
-from platform_standins import Target, configuration
+from platform_standins import PREFIX, Target, configuration
 
 GRACE_S = 6
 LOOK_UP_TTL_S = 1.2
@@ -98,6 +98,30 @@
         self.receive_all(connections)
         self.assertEqual([each.status for each in requests], [200] * len(requests))
 
+    def test_target_whose_connection_took_long_is_told_what_is_left(self):
+        wanted = configuration(2, ROUTES, ["orders"])
+        for route in wanted["routes"].values():
+            route["timeoutS"], route["targetLatencyS"] = 8, 4
+        self.put(wanted)
+        self.wrap_targets()
+        connections = [KeptConnection(self.listen("entry-n1", "callers")) for _ in range(3)]
+        self.delay_connections("n1", 150)
+        stopped = self.stop("n1")
+        for each in self.targets:
+            each.seconds, each.ends_at_deadline = 2.5, True
+        time.sleep(max(0, stopped + TAKES_CALLERS_S - 0.5 - time.monotonic()))
+        late = [each.send(self.next_number(), path="/pay/a", deadline_ms=7900) for each in connections]
+        self.receive_all(connections)
+        arrivals = self.arrivals()
+        self.assertEqual([each for each in late if each.status is None], [])
+        at_targets = [each for each in late if each.number in arrivals]
+        self.assertGreater(len(at_targets), 0)
+        due = max(arrivals[each.number].at + self.stated_seconds(arrivals[each.number]) for each in at_targets)
+        self.assertLess(due - stopped, GRACE_S - 0.5)
+
+    def stated_seconds(self, arrival):
+        return int(dict(arrival.headers)[f"{PREFIX}Deadline-Milliseconds".lower()]) / 1000
+
     def run_beside_a_pause(self, path):
         self.relay_requests_of_n1()
         connections, requests = self.send_all([path] * 5)
