Wait for late answers until a stopping host must write

A caller whose request came late in a stop got the host's own 504 for a request that its target had just ended: the answer of the target was on its way.

Cause: such a request is due 0.2 s before the exit, and was given up 0.1 s after that, whatever its caller's own time. A target that ends its work at its deadline has less than 0.1 s for its answer, with both ways, on busy hosts.

Evidence: the new test, with targets whose answer leaves 0.13 s after their deadline, on the code before: three of three requests were answered 504 by the host:

self.assertEqual([each for each in at_targets if not each.is_of_target], []) First list contains 3 additional elements. KeptRequest(number='', sent=2203.949622101, status=504, ended=2206.450007123, ..., is_of_target=False)

Fix: such a request is due 0.3 s before the exit, and is given up only with all others, 0.1 s before the exit, or when its caller's own time is over. So an answer may be 0.2 s late.

--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -417,6 +417,7 @@
             state.deadline, request->started + std::chrono::milliseconds{*caller_timeout_ms} -
                                 response_network_delay);
     }
+    state.caller_deadline = state.deadline;
     state.objective_deadline = request->started + matched_route->objective;
     if (this->answer_by && *this->answer_by < state.deadline) {
         state.deadline = *this->answer_by;
@@ -560,7 +561,8 @@
 {
     const auto control = state.request->control;
     boost::asio::steady_timer timer{*this->context};
-    timer.expires_after(state.deadline + late_response_wait - shell::monotonic_now());
+    // A request that is due earlier only since this host stops ends with end_requests().
+    timer.expires_after(state.caller_deadline + late_response_wait - shell::monotonic_now());
     timer.async_wait([control](const boost::system::error_code& error) {
         if (!error) {
             control->deadline_passed = true;
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -181,6 +181,8 @@
         // When the response is due, and when the latency objective of the route is missed.
         time_point deadline;
         time_point objective_deadline;
+        // When the caller stops waiting.
+        time_point caller_deadline;
         // Whether the response is due earlier than the caller wants it, since this host stops.
         bool is_due_before_stop{};
         // 0 if the route has no affinity or the request names no object.
--- a/bth/gateway/stop_plan.h
+++ b/bth/gateway/stop_plan.h
@@ -38,8 +38,8 @@
     // The end of the grace time is reserved for requests in flight, and for the exit itself.
     constexpr std::chrono::milliseconds drain_time{2200};
     constexpr std::chrono::milliseconds exit_margin{300};
-    // From the deadline of a request to the moment at which its caller has the response: the target
-    // may answer at its deadline, and the response is written after it.
+    // From the deadline of a request to the end of the requests in flight: the target may answer at
+    // its deadline, and its response may be late on links and hosts that are busy.
     constexpr std::chrono::milliseconds response_margin{200};
     // From the end of the requests in flight to the exit.
     constexpr std::chrono::milliseconds write_time{100};
@@ -47,9 +47,10 @@
     const duration lookup_expiry = look_up_ttl(max_ttl) * max_lookup_age_in_ttls;
     const duration latest_accept_until = std::max<duration>(grace - drain_time, duration{});
     const duration exit_by = std::max<duration>(grace - exit_margin, duration{});
+    const duration end_requests_at = std::max<duration>(exit_by - write_time, duration{});
     return {std::min(lookup_expiry, latest_accept_until),
-            std::max<duration>(exit_by - response_margin, duration{}),
-            std::max<duration>(exit_by - write_time, duration{}), exit_by};
+            std::max<duration>(end_requests_at - response_margin, duration{}), end_requests_at,
+            exit_by};
 }
 
 } // namespace bth::gateway
--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -130,6 +130,8 @@
         self.mode = "serve"
         # Whether it answers 504 when the time that is left to a request is over.
         self.ends_at_deadline = False
+        # How much later than that its answer leaves.
+        self.late_s = 0
         # What follows the text of each answer.
         self.padding = b""
         self.leaving = False
@@ -212,7 +214,7 @@
             self.runs[number] = self.runs.get(number, 0) + 1
         left = int(request.headers[PREFIX + "Deadline-Milliseconds"] or 0) / 1000
         if self.ends_at_deadline and self.seconds > left:
-            time.sleep(left)
+            time.sleep(left + self.late_s)
             self.finish(request, arrival, 504, [*echo, (RECEIPT, "seal-" + number)])
             return
         time.sleep(self.seconds)
--- a/process_tests/platform_stop_test.py
+++ b/process_tests/platform_stop_test.py
@@ -38,6 +38,13 @@
                 pass
             each.close()
 
+    def allow_long_requests(self):
+        wanted = configuration(2, ROUTES, ["orders"])
+        for route in wanted["routes"].values():
+            route["timeoutS"], route["targetLatencyS"] = 8, 4
+        self.put(wanted)
+        self.until(lambda: any(b"version=2" in line for line in self.lines(self.entries["n1"])), "the timeouts are in force")
+
     def arrivals(self):
         return {each.number: each for target in self.targets for each in target.arrivals()}
 
@@ -123,12 +130,24 @@
                 time.sleep(0.2)
                 self.assertIsNone(running["n1"].popen.poll())
 
+    def test_answer_that_leaves_its_target_late_is_not_replaced(self):
+        self.allow_long_requests()
+        for each in self.targets:
+            each.seconds, each.ends_at_deadline, each.late_s = 2.5, True, 0.13
+        connections = [self.connect() for _ in range(3)]
+        stopped = self.stop()
+        time.sleep(max(0, stopped + TAKES_CALLERS_S - 0.5 - time.monotonic()))
+        late = [each.send(self.next_number(), path="/pay/a", deadline_ms=8000) for each in connections]
+        self.receive_all(connections)
+        arrivals = self.arrivals()
+        self.assertEqual([each for each in late if each.status is None], [])
+        at_targets = [each for each in late if each.number in arrivals]
+        self.assertGreater(len(at_targets), 0)
+        self.assertEqual([each for each in at_targets if not each.is_of_target], [])
+        self.assert_exits()
+
     def test_long_request_that_comes_late_is_answered_before_the_exit(self):
-        wanted = configuration(2, ROUTES, ["orders"])
-        for route in wanted["routes"].values():
-            route["timeoutS"], route["targetLatencyS"] = 8, 4
-        self.put(wanted)
-        self.until(lambda: any(b"version=2" in line for line in self.lines(self.entries["n1"])), "the timeouts are in force")
+        self.allow_long_requests()
         for each in self.targets:
             each.seconds, each.ends_at_deadline = 2.5, True
         connections = [self.connect() for _ in range(3)]
@@ -146,11 +165,7 @@
         self.assert_exits()
 
     def test_answer_behind_a_request_that_outlasts_the_grace_time_is_not_cut(self):
-        wanted = configuration(2, ROUTES, ["orders"])
-        for route in wanted["routes"].values():
-            route["timeoutS"], route["targetLatencyS"] = 8, 4
-        self.put(wanted)
-        self.until(lambda: any(b"version=2" in line for line in self.lines(self.entries["n1"])), "the timeouts are in force")
+        self.allow_long_requests()
         for each in self.targets:
             each.seconds = 7.5
         connection = self.connect()
