Keep most of a short grace time for requests in flight

Cause: the times that the stop plan reserves for writing and for the exit are fixed, 0.4 s together, whatever the grace time.

Evidence: the new test, grace time 1 s, answers due 0.75 s after the signal, on the code before:

self.assertEqual([each for each in early if each.status != 200], []) First list contains 3 additional elements. KeptRequest(number='', sent=2223.455109817, status=504, ended=2224.228503736, ..., is_of_target=False)

Fix: these times are a sixth of the grace time at most, so that nothing changes from 2.4 s on.

--- a/bth/gateway/caller_response_test.cpp
+++ b/bth/gateway/caller_response_test.cpp
@@ -116,3 +116,14 @@
     CHECK(plan.answer_by < plan.exit_by);
     CHECK(plan.exit_by < 1s);
 }
+
+TEST(stop_plan, requests_in_flight_keep_most_of_any_grace_time)
+{
+    for (const auto grace : {1s, 2s, 3s, 6s, 30s}) {
+        const auto plan = plan_stop(grace, 5s);
+        CHECK(plan.end_requests_at >= bth::duration{grace} * 5 / 6 - 1ms);
+        CHECK(plan.answer_by < plan.end_requests_at);
+        CHECK(plan.end_requests_at < plan.exit_by);
+        CHECK(plan.exit_by < grace);
+    }
+}
--- a/bth/gateway/stop_plan.h
+++ b/bth/gateway/stop_plan.h
@@ -37,12 +37,16 @@
 {
     // The end of the grace time is reserved for requests in flight, and for the exit itself.
     constexpr std::chrono::milliseconds drain_time{2200};
-    constexpr std::chrono::milliseconds exit_margin{300};
+    constexpr std::chrono::milliseconds max_exit_margin{300};
     // From the deadline of a request to the end of the requests in flight: the target may answer at
     // its deadline, and its response may be late on links and hosts that are busy.
-    constexpr std::chrono::milliseconds response_margin{200};
+    constexpr std::chrono::milliseconds max_response_margin{200};
     // From the end of the requests in flight to the exit.
-    constexpr std::chrono::milliseconds write_time{100};
+    constexpr std::chrono::milliseconds max_write_time{100};
+    // Requests may take until the last sixth of the grace time, however short it is.
+    const duration exit_margin = std::min<duration>(max_exit_margin, grace / 8);
+    const duration write_time = std::min<duration>(max_write_time, grace / 24);
+    const duration response_margin = std::min<duration>(max_response_margin, grace / 12);
     constexpr int max_lookup_age_in_ttls = 3;
     const duration lookup_expiry = look_up_ttl(max_ttl) * max_lookup_age_in_ttls;
     const duration latest_accept_until = std::max<duration>(grace - drain_time, duration{});
--- a/process_tests/platform_stop_test.py
+++ b/process_tests/platform_stop_test.py
@@ -17,10 +17,12 @@
 TAKES_CALLERS_S = 3 * LOOK_UP_TTL_S
 
 
-class PlatformStopTest(PlatformFleet):
+class StopFleet(PlatformFleet):
+    grace_s = GRACE_S
+
     def settings_of(self, domain, address, listen, **more):
         settings = super().settings_of(domain, address, listen, **more)
-        settings["limits"].update(stop_grace_s=GRACE_S, look_up_ttl_s=LOOK_UP_TTL_S)
+        settings["limits"].update(stop_grace_s=self.grace_s, look_up_ttl_s=LOOK_UP_TTL_S)
         return settings
 
     def connect(self, domain="n1", **options):
@@ -56,6 +58,8 @@
     def assert_exits(self, domain="n1"):
         self.assertEqual(self.entries[domain].wait_exit(), 0)
 
+
+class PlatformStopTest(StopFleet):
     def test_request_read_with_the_last_answer_is_not_lost(self):
         for each in self.targets:
             each.seconds = 0.3
@@ -279,5 +283,27 @@
         self.assertEqual((first.status, refused.status), (200, 400))
 
 
+class PlatformShortStopTest(StopFleet):
+    grace_s = 1
+
+    def test_request_that_ends_before_the_last_sixth_of_a_short_grace_time_is_not_cut(self):
+        self.allow_long_requests()
+        for each in self.targets:
+            each.seconds = 0.92
+        connections = [self.connect() for _ in range(3)]
+        requests = [each.send(self.next_number(), path="/pay/a", deadline_ms=8000) for each in connections]
+        self.until(lambda: all(each.number in self.arrivals() for each in requests), "the requests are at targets")
+        first = min(self.arrivals()[each.number].at for each in requests)
+        time.sleep(max(0, first + 0.17 - time.monotonic()))
+        self.entries["n1"].signal(signal.SIGTERM)
+        signalled = time.monotonic()
+        self.receive_all(connections)
+        arrivals = self.arrivals()
+        early = [each for each in requests if arrivals[each.number].at + 0.92 < signalled + self.grace_s * 0.78]
+        self.assertGreater(len(early), 0)
+        self.assertEqual([each for each in early if each.status != 200], [])
+        self.assert_exits()
+
+
 if __name__ == "__main__":
     harness.main()
