--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -368,6 +368,16 @@
     return make_refusal_response({reason, run_state::no, retry_after_unconfigured});
 }
 
+void gateway::end_requests()
+{
+    // Requests leave the set when they end.
+    const auto requests = this->caller_requests;
+    for (const auto& control : requests) {
+        control->deadline_passed = true;
+        control->abort();
+    }
+}
+
 boost::asio::awaitable<caller_response> gateway::serve(std::shared_ptr<served_request> request)
 {
     const auto self = shared_from_this();
@@ -407,6 +417,7 @@
             state.deadline, request->started + std::chrono::milliseconds{*caller_timeout_ms} -
                                 response_network_delay);
     }
+    state.caller_deadline = state.deadline;
     state.objective_deadline = request->started + matched_route->objective;
     if (this->answer_by && *this->answer_by < state.deadline) {
         state.deadline = *this->answer_by;
@@ -422,7 +433,9 @@
                limits.retry_window);
     window.count_first_attempt(request->started);
     ++this->in_flight;
+    this->caller_requests.insert(request->control);
     auto response = co_await this->send_with_retries(state);
+    this->caller_requests.erase(request->control);
     --this->in_flight;
     const auto now = shell::monotonic_now();
     this->metrics.observe_response(response.status, state.priority, now - request->started);
@@ -548,7 +561,8 @@
 {
     const auto control = state.request->control;
     boost::asio::steady_timer timer{*this->context};
-    timer.expires_after(state.deadline + late_response_wait - shell::monotonic_now());
+    // A request that is due earlier only since this host stops ends with end_requests().
+    timer.expires_after(state.caller_deadline + late_response_wait - shell::monotonic_now());
     timer.async_wait([control](const boost::system::error_code& error) {
         if (!error) {
             control->deadline_passed = true;
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -149,6 +149,8 @@
     // refused at once if they would take longer. The process must not exit before.
     void begin_stop(time_point answer_by) { this->answer_by = answer_by; }
     bool is_stopping() const { return this->answer_by.has_value(); }
+    // Ends the requests of callers that are in flight as if their deadlines had passed.
+    void end_requests();
 
     // Open connections of callers; counted by the sessions.
     std::size_t callers{};
@@ -179,6 +181,8 @@
         // When the response is due, and when the latency objective of the route is missed.
         time_point deadline;
         time_point objective_deadline;
+        // When the caller stops waiting.
+        time_point caller_deadline;
         // Whether the response is due earlier than the caller wants it, since this host stops.
         bool is_due_before_stop{};
         // 0 if the route has no affinity or the request names no object.
@@ -207,6 +211,8 @@
         std::string request_bytes;
         bool is_head{};
         bool at_most_once{};
+        // When the response is due.
+        time_point deadline;
         // Whether another host forwarded the request to this one.
         bool forwarded{};
     };
@@ -389,6 +395,8 @@
     std::vector<fleet::relay_host> relay_hosts;
     std::shared_ptr<request_forwarder> forwarder;
     std::size_t in_flight{};
+    // The requests of callers that are being sent or wait to be sent.
+    std::set<std::shared_ptr<send_control>> caller_requests;
     std::mt19937 random{std::random_device{}()};
 };
 
