--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -767,7 +767,7 @@
             if any(self.was_disturbed(each, since, ended) for each in ("targets", *DOMAINS) if each != domain):
                 continue
             given_up = [each for each_domain, each in self.kept_requests
-                        if each_domain == domain and each.status in (502, 504) and each.number in arrived
+                        if each_domain == domain and each.status in (502, 504) and not each.is_of_target and each.number in arrived
                         and begun <= each.ended <= ended + SLACK and each.ended - each.sent < TIMEOUT]
             if given_up:
                 self.findings.append(f"{begun - self.begun:.1f}s {domain}, which stops, gives up {len(given_up)} requests at targets, "
