Look for the way to targets while a host stops

A host that took itself for cut off from its targets when it was told to stop stayed so until its exit: the look whether targets are reached again ended with the signal. It had other hosts send all its requests, and answered 503 where these couldn't, for the rest of its grace time. Hosts that lack processor time take themselves for cut off for a moment, also while they are stopped in turn.

The look now goes on until the host reaches a target or exits.

--- a/bth/gateway/gateway_contact.cpp
+++ b/bth/gateway/gateway_contact.cpp
@@ -102,7 +102,7 @@
 {
     const auto self = shared_from_this();
     boost::asio::steady_timer timer{*this->context};
-    while (!this->is_stopping()) {
+    while (true) {
         std::vector<dispatch::target_ptr> targets;
         for (const auto& id : this->contact.choose_probes(this->board.ids())) {
             if (auto target = this->board.find(id)) {
--- a/process_tests/platform_stop_relay_test.py
+++ b/process_tests/platform_stop_relay_test.py
@@ -115,6 +115,15 @@
     def test_request_that_no_other_host_can_send_is_not_given_up(self):
         self.run_beside_a_pause("/read/a")
 
+    def test_stopping_host_that_reaches_targets_again_needs_no_other_host(self):
+        self.relay_requests_of_n1()
+        HeldTarget.answer_at = time.monotonic()
+        self.stop("n1")
+        self.mend("n1")
+        time.sleep(1)
+        self.entries["n2"].kill()
+        self.assertEqual([self.send("n1")[0] for _ in range(5)], [200] * 5)
+
 
 if __name__ == "__main__":
     harness.main()
