Don't blame a target for the loss of the host that sends to it

A request whose host was lost or silent, or was ended by that host itself, counted as a failure of the target: a few of them took a target that worked for bad, in a fleet whose hosts are stopped in turn. The reply now says whether it tells of the target; if not, the attempt counts as abandoned there. The unit tests on the two cases check this; what they check didn't exist before.

--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -251,7 +251,8 @@
     auto reply = std::move(forwarded.outcome);
     const auto now = shell::monotonic_now();
     const bool sent = reply && reply->declined == decline_reason::none;
-    const auto outcome = sent ? reply->result.outcome : send_outcome::abandoned;
+    const auto outcome =
+        sent && forwarded.tells_of_target ? reply->result.outcome : send_outcome::abandoned;
     // The sender measures how fast the target responds. This host records only the end and
     // the outcome of the request, which affect its choice of targets.
     target->end_request(now, outcome, {}, {}, std::nullopt);
--- a/bth/gateway/request_forwarder.cpp
+++ b/bth/gateway/request_forwarder.cpp
@@ -148,7 +148,7 @@
     co_await entry->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     control->close = nullptr;
     if (entry->outcome) {
-        co_return forward_reply{std::move(entry->outcome), nullptr};
+        co_return forward_reply{std::move(entry->outcome), entry->tells_of_target, nullptr};
     }
     const auto why = entry->end.value_or(forward_end::peer_silent);
     this->metrics->count_forward_given_up(name_of(why));
@@ -223,7 +223,9 @@
     else if (auto* outcome = std::get_if<handoff_outcome>(&*decoded)) {
         const auto found = this->pending.find(outcome->id);
         if (found != this->pending.end() && found->second->host == from.name) {
-            if (outcome->result.outcome == dispatch::send_outcome::abandoned) {
+            found->second->tells_of_target =
+                outcome->result.outcome != dispatch::send_outcome::abandoned;
+            if (!found->second->tells_of_target) {
                 // The other host ended the request; its caller still waits here.
                 outcome->result.outcome = dispatch::send_outcome::broken;
             }
--- a/bth/gateway/request_forwarder.h
+++ b/bth/gateway/request_forwarder.h
@@ -68,6 +68,9 @@
         // has not run. If the request was cancelled, or the host is lost or silent, it states that
         // the request may have run.
         std::optional<handoff_outcome> outcome;
+        // Whether the outcome tells how the target did: it doesn't if the host is lost or silent,
+        // or ended the request itself.
+        bool tells_of_target{};
         // Set if the host is silent, so that its reply may still come.
         std::shared_ptr<late_reply> late;
     };
@@ -92,6 +95,7 @@
         // Never expires; cancelled when the outcome has arrived or the wait is given up.
         boost::asio::steady_timer timer;
         std::optional<handoff_outcome> outcome;
+        bool tells_of_target{};
         // Empty while the outcome may still arrive.
         std::optional<forward_end> end;
         // Called when a late outcome has arrived, or none can arrive any more.
--- a/bth/gateway/request_forwarder_test.cpp
+++ b/bth/gateway/request_forwarder_test.cpp
@@ -99,6 +99,7 @@
     bool ended{};
     std::optional<handoff_outcome> outcome;
     std::shared_ptr<request_forwarder::late_reply> late;
+    bool tells_of_target{};
 };
 
 std::shared_ptr<forward_result> start_forward(asio::io_context& context, forwarding_host& from,
@@ -115,6 +116,7 @@
             auto reply = co_await forwarder->forward(to, std::move(request), std::move(control));
             result->outcome = std::move(reply.outcome);
             result->late = std::move(reply.late);
+            result->tells_of_target = reply.tells_of_target;
             result->ended = true;
         },
         asio::detached);
@@ -310,6 +312,7 @@
     const auto result = hosts.forward_beside_a_pause(false);
     CHECK_TRUE(result->ended);
     CHECK_TRUE(result->outcome->result.may_have_run);
+    CHECK_FALSE(result->tells_of_target);
     CHECK_TRUE(result->late != nullptr);
     bool was_told = false;
     result->late->on_end([&] { was_told = true; });
@@ -344,4 +347,8 @@
     CHECK_TRUE(result.outcome.has_value());
     CHECK_TRUE(result.outcome->result.may_have_run);
     CHECK_TRUE(result.outcome->result.outcome == bth::dispatch::send_outcome::broken);
+    // The target isn't to blame.
+    CHECK_FALSE(result.tells_of_target);
+    owner.outcome.result.outcome = bth::dispatch::send_outcome::answered;
+    CHECK_TRUE(forward(context, caller, "b").tells_of_target);
 }
