Deliver a late answer while another attempt runs

A caller waited until the second attempt of its request had ended, at worst until its deadline, though the answer of the first one was there: the reply of a host that was silent was looked at only before an answer of the host's own. A reply that came in the moment of the deadline was passed over.

An answer among the late replies now ends the attempt in progress, which counts as abandoned, and is looked for before anything else.

The test failed before: four requests had no answer 2 s after that of the first attempt was free. answer_of_a_host_that_stood_still_is_delivered_while_another_one_tries AssertionError: Lists differ: [None, None, None, None] != [200, 200, 200, 200]

--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -570,6 +570,9 @@
         }
     });
     while (true) {
+        if (const auto* answer = this->late_answer(state)) {
+            co_return this->finish(state, *answer, "target");
+        }
         if (control->aborted()) {
             send_result none;
             none.outcome =
@@ -585,7 +588,7 @@
             co_return answer ? std::move(*answer)
                              : this->finish(state, std::move(*refused), "refusal");
         }
-        if (control->aborted()) {
+        if (control->aborted() || control->is_answered) {
             continue;
         }
         const trial_guard trial{this->trials, state.fingerprint,
@@ -653,8 +656,13 @@
 boost::asio::awaitable<std::optional<caller_response>> gateway::end_or_retry(request_state& state,
                                                                              send_result result)
 {
-    if (result.outcome != send_outcome::answered && this->spend_retry(state, result)) {
-        co_return std::nullopt;
+    if (result.outcome != send_outcome::answered) {
+        if (const auto* answer = this->late_answer(state)) {
+            co_return this->finish(state, *answer, "target");
+        }
+        if (this->spend_retry(state, result)) {
+            co_return std::nullopt;
+        }
     }
     if (is_relayable(result)) {
         co_return this->finish(state, std::move(*result.response), "target");
@@ -669,6 +677,28 @@
     co_return this->finish(state, this->make_failure_response(state, result), "failure");
 }
 
+void gateway::add_late_reply(request_state& state,
+                             std::shared_ptr<request_forwarder::late_reply> reply)
+{
+    reply->on_end([control = state.request->control, late = reply.get()] {
+        if (late->outcome() && is_relayable(late->outcome()->result)) {
+            control->is_answered = true;
+            control->abort();
+        }
+    });
+    state.late_replies.push_back(std::move(reply));
+}
+
+const caller_response* gateway::late_answer(const request_state& state) const
+{
+    for (const auto& each : state.late_replies) {
+        if (each->outcome() && is_relayable(each->outcome()->result)) {
+            return &*each->outcome()->result.response;
+        }
+    }
+    return nullptr;
+}
+
 boost::asio::awaitable<std::optional<caller_response>>
 gateway::await_late_answer(request_state& state)
 {
@@ -685,30 +715,24 @@
     for (const auto& each : state.late_replies) {
         each->on_end(wake);
     }
-    const auto has_answer = [](const auto& each) {
-        return each->outcome() && is_relayable(each->outcome()->result);
-    };
     const auto is_due = [](const auto& each) {
         return !each->has_ended();
     };
-    const auto& replies = state.late_replies;
-    auto answered = std::find_if(replies.begin(), replies.end(), has_answer);
-    while (answered == replies.end() && !control->aborted() &&
-           std::any_of(replies.begin(), replies.end(), is_due)) {
+    while (this->late_answer(state) == nullptr && !control->aborted() &&
+           std::any_of(state.late_replies.begin(), state.late_replies.end(), is_due)) {
         changed.expires_at(std::chrono::steady_clock::time_point::max());
         boost::system::error_code ignored;
         co_await changed.async_wait(
             boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-        answered = std::find_if(replies.begin(), replies.end(), has_answer);
     }
-    for (const auto& each : replies) {
+    for (const auto& each : state.late_replies) {
         each->on_end(nullptr);
     }
     control->close = nullptr;
-    if (answered == replies.end()) {
-        co_return std::nullopt;
+    if (const auto* answer = this->late_answer(state)) {
+        co_return this->finish(state, *answer, "target");
     }
-    co_return this->finish(state, *(*answered)->outcome()->result.response, "target");
+    co_return std::nullopt;
 }
 
 } // namespace bth::gateway
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -308,6 +308,11 @@
     // be tried again.
     boost::asio::awaitable<std::optional<caller_response>> end_or_retry(request_state& state,
                                                                         send_result result);
+    // Keeps the reply that a silent host owes. An answer ends the attempt in progress when it
+    // comes.
+    void add_late_reply(request_state& state, std::shared_ptr<request_forwarder::late_reply> reply);
+    // Returns the answer of a target among the late replies; null if there is none.
+    const caller_response* late_answer(const request_state& state) const;
     // Waits for the replies that silent hosts still owe, before a request ends without an answer of
     // a target. Returns the first answer among them; nullopt if there is none, or if the request
     // was cancelled.
--- a/bth/gateway/gateway_contact.cpp
+++ b/bth/gateway/gateway_contact.cpp
@@ -258,7 +258,7 @@
         auto forwarded =
             co_await this->forwarder->forward(host, std::move(request), state.request->control);
         if (forwarded.late) {
-            state.late_replies.push_back(std::move(forwarded.late));
+            this->add_late_reply(state, std::move(forwarded.late));
         }
         auto reply = std::move(forwarded.outcome);
         if (!reply || reply->declined != decline_reason::none) {
--- a/bth/gateway/gateway_crashes.cpp
+++ b/bth/gateway/gateway_crashes.cpp
@@ -49,7 +49,7 @@
 boost::asio::awaitable<std::optional<caller_response>> gateway::await_trial(request_state& state)
 {
     const auto control = state.request->control;
-    while (!control->aborted()) {
+    while (!control->aborted() && !control->is_answered) {
         const auto now = shell::monotonic_now();
         const auto judgement = this->judge_crashes(state);
         const bool is_free = judgement.verdict == crash_verdict::on_trial &&
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -246,7 +246,7 @@
     auto forwarded =
         co_await this->forwarder->forward(sender, std::move(handoff), state.request->control);
     if (forwarded.late) {
-        state.late_replies.push_back(std::move(forwarded.late));
+        this->add_late_reply(state, std::move(forwarded.late));
     }
     auto reply = std::move(forwarded.outcome);
     const auto now = shell::monotonic_now();
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -283,7 +283,7 @@
     send_result out;
     out.may_have_run = may_have_been_sent;
     out.may_have_arrived = may_have_been_sent;
-    if (control.caller_disconnected) {
+    if (control.caller_disconnected || control.is_answered) {
         out.outcome = send_outcome::abandoned;
     }
     else if (control.deadline_passed) {
--- a/bth/gateway/target_send.h
+++ b/bth/gateway/target_send.h
@@ -23,12 +23,14 @@
 
 namespace bth::gateway {
 
-// Cancels an attempt in progress. The flags are set if the whole request is cancelled.
+// Cancels an attempt in progress. The first two flags are set if the whole request is cancelled.
 struct send_control {
     // Ends the attempt in progress; empty if there is none.
     std::function<void()> close;
     bool caller_disconnected{};
     bool deadline_passed{};
+    // Set if an earlier attempt was answered late, so that the one in progress isn't needed.
+    bool is_answered{};
 
     // Returns whether the request, not just one attempt, was cancelled.
     bool aborted() const { return this->caller_disconnected || this->deadline_passed; }
--- a/process_tests/platform_stop_relay_test.py
+++ b/process_tests/platform_stop_relay_test.py
@@ -36,6 +36,17 @@
         pass
 
 
+class TargetHeldBySender(Target):
+    """Runs requests of the entry hosts in `free`, and holds those of all others."""
+
+    free = set()
+
+    def respond(self, request, body, arrival):
+        while arrival.sender not in TargetHeldBySender.free:
+            time.sleep(0.002)
+        super().respond(request, body, arrival)
+
+
 class PlatformStopRelayTest(ProxiedFleet):
     def settings_of(self, domain, address, listen, **more):
         settings = super().settings_of(domain, address, listen, **more)
@@ -47,21 +58,26 @@
 
     def relay_requests_of_n1(self):
         """From now on n1 reaches no target, and n2 sends its requests."""
+        self.cut_off_n1("s1")
+        HeldTarget.holds, HeldTarget.answer_at = True, None
+        for each in self.targets:
+            each.__class__ = HeldTarget
+
+    def cut_off_n1(self, *ended):
+        """From now on n1 reaches no target, and other entry hosts send its requests; those in `ended` have ended before."""
         wanted = configuration(2, ROUTES, ["orders"])
         for route in wanted["routes"].values():
             route["timeoutS"], route["targetLatencyS"] = 8, 6
         self.put(wanted)
         self.wrap_targets()
-        self.entries["s1"].kill()
+        for each in ended:
+            self.entries[each].kill()
         self.cut("n1", how="refuse", keeps_open=False)
         warmed_up = time.monotonic() + 5
         while time.monotonic() < warmed_up:
             self.send("n1")
             time.sleep(0.05)
         self.until(lambda: self.send("n1")[0] == 200, "requests of n1 are relayed")
-        HeldTarget.holds, HeldTarget.answer_at = True, None
-        for each in self.targets:
-            each.__class__ = HeldTarget
 
     def send_all(self, paths):
         """Sends requests to n1, each on a connection of its own, and waits until all of them are at targets."""
@@ -136,6 +152,29 @@
         requests = self.run_beside_a_pause("/pay/a")
         self.assertEqual([self.runs_of(each.number) for each in requests], [1] * len(requests))
 
+    def test_answer_of_a_host_that_stood_still_is_delivered_while_another_one_tries(self):
+        self.cut_off_n1()
+        TargetHeldBySender.free = set()
+        for each in self.targets:
+            each.__class__ = TargetHeldBySender
+        connections, requests = self.send_all(["/read/a"] * 8)
+        first = {each.number: each.sender for target in self.targets for each in target.arrivals()}
+        at_n2 = [each for each in requests if first[each.number] == "n2"]
+        self.assertGreater(len(at_n2), 0)
+        self.pause("n2", PAUSE_S)
+        numbers = {each.number for each in at_n2}
+        self.until(lambda: numbers <= {each.number for target in self.targets for each in target.arrivals() if each.sender == "s1"},
+                   "another host tries the requests")
+        freed = time.monotonic()
+        TargetHeldBySender.free = {"n2"}
+        for each, request in zip(connections, requests):
+            while request in at_n2 and request.status is None and time.monotonic() < freed + 2:
+                each.receive(0.1)
+        self.assertEqual([each.status for each in at_n2], [200] * len(at_n2))
+        TargetHeldBySender.free = {"n1", "n2", "s1"}
+        self.receive_all(connections)
+        self.assertEqual([each.status for each in requests], [200] * len(requests))
+
     def test_request_that_no_other_host_can_send_is_not_given_up(self):
         self.run_beside_a_pause("/read/a")
 
