--- a/process_tests/platform_soak.py
+++ b/process_tests/platform_soak.py
@@ -213,6 +213,14 @@
                 if not keeps_open:
                     proxy.reset_connections_of(domain)
 
+    def delay_connections(self, domain, milliseconds):
+        """The entry host stands still for this long before each new connection to a target; open ones are reset."""
+        new = self.folder / f"new-filter-{domain}"
+        new.write_text("\n".join([f"delay {milliseconds}", *[each.listen for each in self.proxies]]))
+        new.replace(self.filter_of(domain))
+        for proxy in self.proxies:
+            proxy.reset_connections_of(domain)
+
     def mend(self, *domains):
         for domain in domains:
             self.filter_of(domain).unlink()
@@ -759,7 +767,7 @@
             if any(self.was_disturbed(each, since, ended) for each in ("targets", *DOMAINS) if each != domain):
                 continue
             given_up = [each for each_domain, each in self.kept_requests
-                        if each_domain == domain and each.status in (502, 504) and each.number in arrived
+                        if each_domain == domain and each.status in (502, 504) and not each.is_of_target and each.number in arrived
                         and begun <= each.ended <= ended + SLACK and each.ended - each.sent < TIMEOUT]
             if given_up:
                 self.findings.append(f"{begun - self.begun:.1f}s {domain}, which stops, gives up {len(given_up)} requests at targets, "
--- a/process_tests/platform_stop_test.py
+++ b/process_tests/platform_stop_test.py
@@ -17,10 +17,12 @@
 TAKES_CALLERS_S = 3 * LOOK_UP_TTL_S
 
 
-class PlatformStopTest(PlatformFleet):
+class StopFleet(PlatformFleet):
+    grace_s = GRACE_S
+
     def settings_of(self, domain, address, listen, **more):
         settings = super().settings_of(domain, address, listen, **more)
-        settings["limits"].update(stop_grace_s=GRACE_S, look_up_ttl_s=LOOK_UP_TTL_S)
+        settings["limits"].update(stop_grace_s=self.grace_s, look_up_ttl_s=LOOK_UP_TTL_S)
         return settings
 
     def connect(self, domain="n1", **options):
@@ -38,6 +40,13 @@
                 pass
             each.close()
 
+    def allow_long_requests(self):
+        wanted = configuration(2, ROUTES, ["orders"])
+        for route in wanted["routes"].values():
+            route["timeoutS"], route["targetLatencyS"] = 8, 4
+        self.put(wanted)
+        self.until(lambda: any(b"version=2" in line for line in self.lines(self.entries["n1"])), "the timeouts are in force")
+
     def arrivals(self):
         return {each.number: each for target in self.targets for each in target.arrivals()}
 
@@ -49,6 +58,8 @@
     def assert_exits(self, domain="n1"):
         self.assertEqual(self.entries[domain].wait_exit(), 0)
 
+
+class PlatformStopTest(StopFleet):
     def test_request_read_with_the_last_answer_is_not_lost(self):
         for each in self.targets:
             each.seconds = 0.3
@@ -123,12 +134,24 @@
                 time.sleep(0.2)
                 self.assertIsNone(running["n1"].popen.poll())
 
+    def test_answer_that_leaves_its_target_late_is_not_replaced(self):
+        self.allow_long_requests()
+        for each in self.targets:
+            each.seconds, each.ends_at_deadline, each.late_s = 2.5, True, 0.13
+        connections = [self.connect() for _ in range(3)]
+        stopped = self.stop()
+        time.sleep(max(0, stopped + TAKES_CALLERS_S - 0.5 - time.monotonic()))
+        late = [each.send(self.next_number(), path="/pay/a", deadline_ms=8000) for each in connections]
+        self.receive_all(connections)
+        arrivals = self.arrivals()
+        self.assertEqual([each for each in late if each.status is None], [])
+        at_targets = [each for each in late if each.number in arrivals]
+        self.assertGreater(len(at_targets), 0)
+        self.assertEqual([each for each in at_targets if not each.is_of_target], [])
+        self.assert_exits()
+
     def test_long_request_that_comes_late_is_answered_before_the_exit(self):
-        wanted = configuration(2, ROUTES, ["orders"])
-        for route in wanted["routes"].values():
-            route["timeoutS"], route["targetLatencyS"] = 8, 4
-        self.put(wanted)
-        self.until(lambda: any(b"version=2" in line for line in self.lines(self.entries["n1"])), "the timeouts are in force")
+        self.allow_long_requests()
         for each in self.targets:
             each.seconds, each.ends_at_deadline = 2.5, True
         connections = [self.connect() for _ in range(3)]
@@ -140,12 +163,27 @@
         self.assertEqual([each for each in late if each.status == 503 and each.number in self.arrivals()], [])
         self.assertEqual([each for each in late if each.status is None], [])
         with self.subTest("no answer of the host's own while a target is at work"):
-            arrivals = self.arrivals()
-            self.assertEqual([each for each in late if each.status != 503 and not arrivals[each.number].answered], [])
+            self.assertEqual([each for each in late if each.status != 503 and not each.is_of_target], [])
         with self.subTest("refused at once"):
             self.assertEqual([each for each in late if each.status == 503 and each.ended - each.sent > 1], [])
         self.assert_exits()
 
+    def test_answer_behind_a_request_that_outlasts_the_grace_time_is_not_cut(self):
+        self.allow_long_requests()
+        for each in self.targets:
+            each.seconds = 7.5
+        connection = self.connect()
+        first = connection.send(self.next_number(), deadline_ms=8000)
+        self.until(lambda: first.number in self.arrivals(), "the request is at a target")
+        for each in self.targets:
+            each.seconds = 0.05
+        self.stop()
+        second = connection.send(self.next_number(), deadline_ms=8000)
+        self.receive_all([connection])
+        self.assertIsNotNone(self.arrivals()[second.number].answered)
+        self.assertEqual((first.status, second.status), (504, 200))
+        self.assert_exits()
+
     def test_request_read_while_the_last_answer_is_written_is_not_lost(self):
         for each in self.targets:
             each.seconds = 0.3
@@ -245,5 +283,27 @@
         self.assertEqual((first.status, refused.status), (200, 400))
 
 
+class PlatformShortStopTest(StopFleet):
+    grace_s = 1
+
+    def test_request_that_ends_before_the_last_sixth_of_a_short_grace_time_is_not_cut(self):
+        self.allow_long_requests()
+        for each in self.targets:
+            each.seconds = 0.92
+        connections = [self.connect() for _ in range(3)]
+        requests = [each.send(self.next_number(), path="/pay/a", deadline_ms=8000) for each in connections]
+        self.until(lambda: all(each.number in self.arrivals() for each in requests), "the requests are at targets")
+        first = min(self.arrivals()[each.number].at for each in requests)
+        time.sleep(max(0, first + 0.17 - time.monotonic()))
+        self.entries["n1"].signal(signal.SIGTERM)
+        signalled = time.monotonic()
+        self.receive_all(connections)
+        arrivals = self.arrivals()
+        early = [each for each in requests if arrivals[each.number].at + 0.92 < signalled + self.grace_s * 0.78]
+        self.assertGreater(len(early), 0)
+        self.assertEqual([each for each in early if each.status != 200], [])
+        self.assert_exits()
+
+
 if __name__ == "__main__":
     harness.main()
