Judge a request that waits for its trial again before that begins

Cause: a host that is cut off sees resets and refused connections, so it records two crashes for a request that it tried twice. The next request with the same fingerprint is held: 0.6 s for the reports of all hosts, and up to 1.5 s more until the turn of its host. It slept through that whole time, although another host had meanwhile run the same request to its end, and the news of that had arrived.

Fix: a held request is judged again every 50 ms, like one that waits for the trial before it, so that it goes on once it is cleared. Trials begin as before: a shorter rest of the wait is slept in one piece.

--- a/bth/gateway/gateway_crashes.cpp
+++ b/bth/gateway/gateway_crashes.cpp
@@ -24,7 +24,8 @@
 
 // A trial begins at the latest so long before the deadline of its request; most requests take less.
 constexpr std::chrono::milliseconds min_trial_time{400};
-// How often a request on trial looks whether the one before it has ended.
+// How often a request that waits is judged again: the trial before it may have ended, and news of
+// other hosts may clear it before its own trial would begin.
 constexpr std::chrono::milliseconds trial_poll_interval{50};
 
 } // namespace
@@ -57,9 +58,9 @@
         if (judgement.verdict == crash_verdict::clear || is_free) {
             co_return std::nullopt;
         }
-        const duration wait = std::max<duration>(judgement.wait, trial_poll_interval);
         const bool is_too_late = now + trial_poll_interval >= state.deadline;
         if (judgement.verdict == crash_verdict::refused || is_too_late) {
+            const duration wait = std::max<duration>(judgement.wait, trial_poll_interval);
             this->events->write(shell::event{"crash_suspect"}
                                     .with("request", state.id)
                                     .with("fingerprint", state.fingerprint.value())
@@ -68,7 +69,10 @@
             co_return this->refuse(state, refusal_reason::crashes_targets, wait);
         }
         boost::asio::steady_timer timer{*this->context};
-        timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(wait));
+        const bool is_held = judgement.verdict == crash_verdict::held;
+        timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+            is_held ? std::min<duration>(judgement.wait, trial_poll_interval)
+                    : trial_poll_interval));
         control->close = [&timer] {
             timer.cancel();
         };
--- a/bth/gateway/request_forwarder_test.cpp
+++ b/bth/gateway/request_forwarder_test.cpp
@@ -1,5 +1,6 @@
 #include "bth/gateway/request_forwarder.h"
 
+#include "bth/gateway/testing/events.h"
 #include "bth/shell/log.h"
 #include "bth/shell/net.h"
 #include "bth/wire/frame.h"
@@ -24,6 +25,7 @@
 using namespace std::chrono_literals;
 using namespace bth::gateway;
 namespace asio = boost::asio;
+using bth::gateway::testing::events;
 
 bth::endpoint free_endpoint(asio::io_context& context)
 {
@@ -32,13 +34,6 @@
     return bth::shell::from_asio(acceptor->local_endpoint());
 }
 
-// One log for all tests: the logging library can't be initialised a second time.
-bth::shell::event_log& events()
-{
-    static bth::shell::event_log log{bth::shell::event_log_settings{}};
-    return log;
-}
-
 // An entry host that connects on demand, and replies to forwarded requests with `outcome` after
 // `reply_delay`.
 struct forwarding_host {
