Don't reuse a target's connection in bth-entry after a refusal

Cause: answers to bth-entry name no request. The connection was kept after a refusal that doesn't say that the request wasn't run, and the first answer read after the next request counted for it. One that says so has always closed the connection.

The test on the code before: test_a_refusal_that_is_written_once_more_is_no_answer_to_the_next_request ... FAIL AssertionError: Lists differ: [(503, '/item/next-0', b'busy\n'), (503, '[55 chars]\n')] != []

Fix: a connection that has carried a refusal is closed. Refusals are rare and short, so that this costs few connections.

What remains: another answer than a refusal that is written once more, which needs an id in answers.

--- a/bth/entry/target_attempt.h
+++ b/bth/entry/target_attempt.h
@@ -259,13 +259,15 @@
     }
 
     // Returns the connection to the pool. Closes it if it can't be reused, such as when bytes
-    // follow the end of the response: they belong to no request.
+    // follow the end of the response: they belong to no request. A response doesn't name its
+    // request, so a refusal that the target writes once more would answer the next one; a
+    // connection that has carried a refusal isn't reused.
     void release_connection()
     {
         this->result.id = this->id;
         this->result.outcome = steering::attempt_outcome::answered;
         const bool reusable = this->parser->keep_alive() && this->connection->buffer.size() == 0 &&
-                              !this->commands->stopped();
+                              !this->commands->stopped() && !this->result.shed;
         if (reusable) {
             this->pool.release(std::move(this->connection), shell::monotonic_now());
         }
--- a/bth/entry/target_pool.h
+++ b/bth/entry/target_pool.h
@@ -1,8 +1,8 @@
 // A pool of connections to targets that are kept open between requests.
 //
-// A connection returns to the pool only after a complete and well-formed response. If an attempt
-// was stopped, timed out or failed, its connection is closed, so that a late response can't reach
-// another request.
+// A connection returns to the pool only after a complete and well-formed response that isn't a
+// refusal. If an attempt was stopped, timed out, failed or refused, its connection is closed, so
+// that a late response can't reach another request.
 //
 //   auto connection = pool.take_idle(address);
 //   if (!connection) { connection = pool.make_connection(address, limit); }   // to be connected
--- a/process_tests/entry_faults_test.py
+++ b/process_tests/entry_faults_test.py
@@ -1,6 +1,8 @@
 """bth-entry under faults: late and cut answers, callers that leave, bad input, stops, bad starts."""
 import concurrent.futures
+import contextlib
 import http.client
+import itertools
 import json
 import random
 import signal
@@ -41,6 +43,47 @@
         self.listener.close()
 
 
+class RepeatingTarget:
+    """A target that refuses some requests, and writes a refusal once more when the next request comes on its connection."""
+
+    REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n\r\nbusy\n"
+
+    def __init__(self, where):
+        host, port = where.rsplit(":", 1)
+        self.answered = set()
+        self.listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self.accept_all, daemon=True).start()
+
+    def accept_all(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        repeated = b""
+        with connection, connection.makefile("rb") as reader, contextlib.suppress(OSError):
+            while line := reader.readline():
+                while reader.readline() not in (b"\r\n", b""):
+                    pass
+                path = line.split()[1].decode()
+                if path.startswith("/item/refused"):
+                    repeated = self.REFUSAL
+                    connection.sendall(self.REFUSAL)
+                    continue
+                body = b'{"in_flight":0,"slots":3,"leaving":false}'
+                if path != "/load":
+                    self.answered.add(path)
+                    body = path.encode()
+                connection.sendall(repeated + b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+                repeated = b""
+
+    def close(self):
+        self.listener.close()
+
+
 class EntryFaultsTest(entry_case.EntryCase):
     def connection(self, row=0):
         host, port = self.site["hosts"][row]["http"].rsplit(":", 1)
@@ -101,6 +144,29 @@
         self.assertEqual(headers["bth-run"], "unknown")
         target.close()
 
+    def test_a_refusal_that_is_written_once_more_is_no_answer_to_the_next_request(self):
+        self.start_site()
+        for each in self.targets:
+            each.kill()
+        target = RepeatingTarget(self.site["targets"][0]["http"])
+        refused, wrong = 0, []
+
+        def ask_after_refusal(number):
+            nonlocal refused
+            status, headers, _ = self.call(0, f"/item/refused-{number}")
+            if status != 503 or "bth-reason" in headers:
+                return
+            refused += 1
+            path = f"/item/next-{number}"
+            status, _, text = self.call(0, path)
+            if path in target.answered and (status, text) != (200, path.encode()):
+                wrong.append((status, path, text))
+
+        numbers = itertools.count()
+        self.until(lambda: ask_after_refusal(next(numbers)) or (refused >= 5 and target.answered), "requests are refused")
+        target.close()
+        self.assertEqual(wrong[:3], [])
+
     def refused_by_target(self):
         answer = self.call(0, "/item/endless", "POST")
         self.assertNotEqual(answer[0], 200, answer)
