Remember that a target crashed when the requests there are answered

What callers see: a request is refused for crashes that it didn't cause, where several targets crash together.

Cause: a request that was at some of the crashes of a moment counts by its share of them. An answer clears a request of its crashes, and with it the ledger forgot that the target had crashed at all if nothing else ran there. The share of the others grew: two of three targets that crashed together counted as two of two.

Fix: the crash stays, without a candidate, also if its report arrives after that of the answer; the latest 512, for as long as other crashes. Nothing changes in messages; a host that starts later doesn't hear of these, and judges like before.

The tests on the code before: TEST(crash_ledger, crash_of_a_moment_counts_though_it_is_heard_of_after_the_answer) CHECK(at.verdict(start + 1min, bystander) != crash_verdict::refused) failed TEST(crash_ledger, crash_of_a_moment_is_not_forgotten_when_the_requests_there_are_answered) CHECK(at.verdict(start + 1min, bystander) != crash_verdict::refused) failed

--- a/bth/dispatch/crash_attribution.cpp
+++ b/bth/dispatch/crash_attribution.cpp
@@ -31,7 +31,8 @@
 struct crash_event {
     service_key service;
     time_point at;
-    // The requests that were running there, and when the report on each arrived.
+    // The requests that were running there and weren't cleared, and when the report on each
+    // arrived.
     std::map<request_fingerprint, time_point> candidates;
     // The crashes of the service at about the same time, this one included.
     std::vector<std::size_t> wave;
@@ -40,22 +41,41 @@
 
 class crash_events {
 public:
-    crash_events(std::vector<observed_crash> observed, const attribution_rules& rules)
+    crash_events(const std::vector<observed_crash>& observed,
+                 const std::vector<cleared_crash>& cleared, const attribution_rules& rules)
     {
-        std::sort(observed.begin(), observed.end(), [](const auto& one, const auto& other) {
+        // One report of a crash, with the request that was running there unless it was cleared.
+        struct report {
+            target_key target;
+            time_point at;
+            service_key service;
+            const observed_crash* candidate;
+        };
+        std::vector<report> reports;
+        reports.reserve(observed.size() + cleared.size());
+        for (const auto& each : observed) {
+            reports.push_back({each.target, each.at, each.service, &each});
+        }
+        for (const auto& each : cleared) {
+            reports.push_back({each.target, each.at, each.service, nullptr});
+        }
+        std::sort(reports.begin(), reports.end(), [](const auto& one, const auto& other) {
             return std::tie(one.target, one.at) < std::tie(other.target, other.at);
         });
-        const observed_crash* first = nullptr;
-        for (const auto& each : observed) {
+        const report* first = nullptr;
+        for (const auto& each : reports) {
             if (first == nullptr || each.target != first->target ||
                 each.at - first->at >= rules.same_crash_window) {
                 first = &each;
                 this->events.push_back({each.service, each.at, {}, {}, false});
             }
-            const auto added =
-                this->events.back().candidates.emplace(each.request, each.learned_at);
+            if (each.candidate == nullptr) {
+                continue;
+            }
+            const auto added = this->events.back().candidates.emplace(each.candidate->request,
+                                                                      each.candidate->learned_at);
             if (added.second) {
-                this->events_of[each.request].push_back(this->events.size() - 1);
+                this->events_of[each.candidate->request].push_back(this->events.size() - 1);
             }
         }
         this->find_waves(rules.wave_length);
@@ -211,11 +231,12 @@
 
 } // namespace
 
-std::vector<suspect_request> attribute(std::vector<observed_crash> observed,
+std::vector<suspect_request> attribute(const std::vector<observed_crash>& observed,
+                                       const std::vector<cleared_crash>& cleared,
                                        const attribution_rules& rules)
 {
     std::vector<suspect_request> out;
-    crash_events events{std::move(observed), rules};
+    crash_events events{observed, cleared, rules};
     const auto repeated = events.repeated();
     while (true) {
         const auto candidates = candidates_of(events, repeated);
--- a/bth/dispatch/crash_ledger.cpp
+++ b/bth/dispatch/crash_ledger.cpp
@@ -19,6 +19,8 @@
 // How long answers are remembered, and how many. Longer than settling_time.
 constexpr std::chrono::seconds recent_time{2};
 constexpr std::size_t max_recent_completions = 512;
+// The most cleared crashes that are remembered. They matter beside crashes of the same moment.
+constexpr std::size_t max_cleared_crashes = 512;
 constexpr std::chrono::seconds expiry_check_interval{1};
 // Reports of the same answer differ by the time that messages take.
 constexpr std::chrono::milliseconds transit_time{100};
@@ -52,9 +54,11 @@
     }
     const auto completed = this->completions.find(report.request);
     if (completed != this->completions.end() && completed->second.at >= at) {
+        this->record_cleared({report.target, report.service, at});
         return false;
     }
     if (const auto answered = this->last_answered(report.request); answered >= at) {
+        this->record_cleared({report.target, report.service, at});
         this->record_shared_completion(report.request, answered, news_source::observed);
         return true;
     }
@@ -82,8 +86,13 @@
     if (known == this->crashes.end()) {
         return false;
     }
-    const auto cleared =
-        std::erase_if(known->second, [&](const auto& each) { return each.at <= until; });
+    const auto cleared = std::erase_if(known->second, [&](const auto& each) {
+        if (each.at > until) {
+            return false;
+        }
+        this->record_cleared({each.target, each.service, each.at});
+        return true;
+    });
     if (known->second.empty()) {
         this->crashes.erase(known);
     }
@@ -92,6 +101,22 @@
     return cleared > 0;
 }
 
+void crash_ledger::record_cleared(const cleared_crash& cleared)
+{
+    const bool is_known = std::any_of(
+        this->cleared_crashes.begin(), this->cleared_crashes.end(), [&](const auto& each) {
+            return each.target == cleared.target && is_same_crash(each.at, cleared.at);
+        });
+    if (is_known) {
+        return;
+    }
+    this->cleared_crashes.push_back(cleared);
+    if (this->cleared_crashes.size() > max_cleared_crashes) {
+        this->cleared_crashes.pop_front();
+    }
+    this->is_stale = true;
+}
+
 void crash_ledger::record_shared_completion(request_fingerprint request, time_point at,
                                             news_source source)
 {
@@ -157,6 +182,7 @@
         this->is_stale = this->is_stale || expired > 0;
         known = known->second.empty() ? this->crashes.erase(known) : std::next(known);
     }
+    this->is_stale = std::erase_if(this->cleared_crashes, is_expired) > 0 || this->is_stale;
     std::erase_if(this->completions, [&](const auto& each) { return is_expired(each.second); });
     while (!this->recent_completions.empty() &&
            this->recent_completions.front().at + recent_time < now) {
@@ -197,9 +223,14 @@
             observed.push_back({request, each.target, each.service, each.at, each.learned_at});
         }
     }
+    std::vector<internal::cleared_crash> cleared;
+    cleared.reserve(this->cleared_crashes.size());
+    for (const auto& each : this->cleared_crashes) {
+        cleared.push_back({each.target, each.service, each.at});
+    }
     this->findings.clear();
     const internal::attribution_rules rules{crashes_to_refuse, wave_length, same_crash_window};
-    for (const auto& each : internal::attribute(std::move(observed), rules)) {
+    for (const auto& each : internal::attribute(observed, cleared, rules)) {
         this->findings[each.request] = {each.crashes, each.crashes_targets, each.learned_at};
     }
 }
--- a/bth/dispatch/crash_ledger.h
+++ b/bth/dispatch/crash_ledger.h
@@ -11,7 +11,7 @@
 // comes first, and what it explains no longer counts against others. Where many targets of a
 // service crash at the same moment, a request counts only by its share of these targets, since
 // other causes, such as a lost rack, do the same. A run that ends with an answer clears a request
-// of all earlier crashes.
+// of all earlier crashes; that these targets crashed still counts for the shares of others.
 //
 // One crash of a target has no consequence. After two, the next run waits until the reports of all
 // hosts have arrived, and begins at some hosts before others. After three, the request is refused
@@ -160,6 +160,12 @@
         std::uint64_t sequence{};
         news_source source{};
     };
+    // A crash at which a request was running that has been answered since.
+    struct cleared_crash {
+        target_key target;
+        service_key service;
+        time_point at;
+    };
     struct completion {
         time_point at;
         std::uint64_t sequence{};
@@ -180,6 +186,7 @@
     static bool is_proved(const finding& suspect, const host_view& host);
     const finding* find_suspect(time_point now, request_fingerprint request);
     bool clear_crashes(request_fingerprint request, time_point until);
+    void record_cleared(const cleared_crash& cleared);
     void record_shared_completion(request_fingerprint request, time_point at, news_source source);
     // Returns when the request was last answered here, as far as that is remembered.
     time_point last_answered(request_fingerprint request) const;
@@ -189,6 +196,8 @@
 
     std::map<request_fingerprint, std::vector<crash>> crashes;
     std::size_t crash_count{};
+    // In the order in which they were cleared.
+    std::deque<cleared_crash> cleared_crashes;
     std::map<request_fingerprint, completion> completions;
     // Answers of the last seconds, latest last. A report of an earlier crash may still arrive.
     std::deque<recent_completion> recent_completions;
--- a/bth/dispatch/crash_ledger_test.cpp
+++ b/bth/dispatch/crash_ledger_test.cpp
@@ -153,6 +153,33 @@
     CHECK_FALSE(at.ledger.record_completion(start + 5s, bystander));
 }
 
+TEST(crash_ledger, crash_of_a_moment_is_not_forgotten_when_the_requests_there_are_answered)
+{
+    constexpr request_fingerprint answered{3};
+    fixture at;
+    // Two of three targets that crash together, and one of three again.
+    at.crash(start, {answered});
+    at.crash(start, {bystander});
+    at.crash(start, {bystander});
+    at.ledger.record_completion(start + 1s, answered);
+    at.crash(start + 2s, {bystander});
+    CHECK(at.verdict(start + 1min, bystander) != crash_verdict::refused);
+}
+
+TEST(crash_ledger, crash_of_a_moment_counts_though_it_is_heard_of_after_the_answer)
+{
+    constexpr request_fingerprint answered{3};
+    fixture at;
+    at.crash(start, {bystander});
+    at.crash(start, {bystander});
+    const completion_report answer{answered, 500ms};
+    at.ledger.merge(start + 1s, {{}, {answer}}, news_source::relayed);
+    const crash_report late{answered, make_target_key("other"), orders, 1s};
+    at.ledger.merge(start + 1s, {{late}, {}}, news_source::relayed);
+    at.crash(start + 2s, {bystander});
+    CHECK(at.verdict(start + 1min, bystander) != crash_verdict::refused);
+}
+
 TEST(crash_ledger, a_report_that_arrives_after_a_later_answer_is_void_on_all_hosts)
 {
     fixture here;
--- a/bth/dispatch/internal/crash_attribution.h
+++ b/bth/dispatch/internal/crash_attribution.h
@@ -1,6 +1,6 @@
 // Attributes crashes of targets to the requests that caused them; see crash_ledger.h.
 //
-//   for (const auto& suspect : attribute(observed_crashes, rules)) { ... }
+//   for (const auto& suspect : attribute(observed_crashes, cleared_crashes, rules)) { ... }
 #pragma once
 
 #include "bth/base/time.h"
@@ -21,6 +21,13 @@
     time_point learned_at;
 };
 
+// A crash of a target at which a request was running that has been answered since.
+struct cleared_crash {
+    target_key target;
+    service_key service;
+    time_point at;
+};
+
 struct attribution_rules {
     // Crashes that make a request one that crashes targets.
     std::size_t crashes_to_refuse{};
@@ -39,7 +46,9 @@
     time_point learned_at;
 };
 
-std::vector<suspect_request> attribute(std::vector<observed_crash> observed,
+// Attributes the observed crashes. Those that are cleared show what else crashed at the same time.
+std::vector<suspect_request> attribute(const std::vector<observed_crash>& observed,
+                                       const std::vector<cleared_crash>& cleared,
                                        const attribution_rules& rules);
 
 } // namespace bth::dispatch::internal
