Let a control host whose disk has room again vote at once

Cause: a member that resumes after a failed write was made like that of a restarted process, which may have answered a leader just before and gives no vote for `vote_silence`. While the next host is stopped already, the only candidate needs just this vote. But the process didn't end: it knows when it last heard a leader, mostly seconds before.

Evidence, before:

recovery_test.cpp:198: error: Failure in TEST(recovery, member_whose_disk_has_room_again_votes_without_waiting_for_its_former_leader) CHECK_TRUE(group.now() - resumed < 600ms) failed

resume() now passes on when the former replica heard its leader. The lease of a leader rests on the silence since then, no matter whether the log was read anew, so that what is left of the silence is kept; a test holds that. A former leader itself holds no lease once its member has stopped.

--- a/bth/consensus/member.h
+++ b/bth/consensus/member.h
@@ -304,7 +304,8 @@
         return stay_stopped(written.error());
     }
     this->machine = std::move(restored_machine);
-    this->core = replica{*restored, this->settings.replica, this->settings.seed, now};
+    this->core = replica{*restored, this->settings.replica, this->settings.seed, now,
+                         this->core.status(now).heard_leader};
     this->applied = this->core.commit_index();
     this->messages.clear();
     this->results.clear();
--- a/bth/consensus/recovery_test.cpp
+++ b/bth/consensus/recovery_test.cpp
@@ -172,6 +172,33 @@
     }
 }
 
+// The others have lost their leader meanwhile, and need its vote.
+TEST(recovery, member_whose_disk_has_room_again_votes_without_waiting_for_its_former_leader)
+{
+    fake_group group{5, 3};
+    group.resumes_after_failure = true;
+    group.run(3s);
+    const auto former = group.leader().value();
+    const auto full = (former + 1) % 3;
+    group.fail_disk_after(full, 0);
+    submit(group, "a");
+    CHECK_TRUE(group.at(full).failure().has_value());
+    group.power_off(former);
+    group.run(3s);
+    CHECK_FALSE(group.leader().has_value());
+    group.repair_disk(full);
+    while (group.at(full).failure()) {
+        group.run(10ms);
+    }
+    const auto resumed = group.now();
+    while (!group.leader() && group.now() - resumed < 5s) {
+        group.run(10ms);
+    }
+    // The candidate asks again every 150 to 450 ms.
+    CHECK_TRUE(group.now() - resumed < 600ms);
+    CHECK_TRUE(group.violations().empty());
+}
+
 TEST(recovery, member_whose_disk_stays_full_tries_again_and_stays_stopped)
 {
     fake_group group{7, 3};
--- a/bth/consensus/replica.cpp
+++ b/bth/consensus/replica.cpp
@@ -49,11 +49,11 @@
 }
 
 replica::replica(const restored_state& restored, replica_options options, std::uint64_t seed,
-                 time_point now)
+                 time_point now, std::optional<time_point> heard_leader)
     : self{restored.self}, options{std::move(options)}, generator{seed}, state{restored.state},
       log{restore_log(restored)}, taken{restored.taken}, commit{this->log.base()},
       // A restarted replica may have answered a leader just before: it gives no vote for a while.
-      heard_leader{now}, join_due{now}, persisted_index{this->log.last()}
+      heard_leader{heard_leader.value_or(now)}, join_due{now}, persisted_index{this->log.last()}
 {
     const auto& members = this->log.members();
     if (is_voter(members, this->self) || is_learner(members, this->self)) {
--- a/bth/consensus/replica.h
+++ b/bth/consensus/replica.h
@@ -135,9 +135,10 @@
 
 class replica {
 public:
-    // `seed` differs between replicas; it spreads the election timeouts.
+    // `seed` differs between replicas; it spreads the election timeouts. `heard_leader` is when
+    // this process last heard a leader by its own clock; unset if an earlier process may have.
     replica(const restored_state& restored, replica_options options, std::uint64_t seed,
-            time_point now);
+            time_point now, std::optional<time_point> heard_leader = {});
 
     void tick(time_point now);
     void receive(time_point now, const envelope& from_peer);
--- a/bth/consensus/replica_test.cpp
+++ b/bth/consensus/replica_test.cpp
@@ -240,3 +240,23 @@
     group.run(4s);
     CHECK_TRUE(group.leader() != nullptr);
 }
+
+// Its former leader may hold a lease that rests on its silence.
+TEST(replica, resumed_replica_gives_no_vote_until_the_silence_of_its_last_leader_is_over)
+{
+    configuration all;
+    all.voters = {founder("a"), founder("b"), founder("c")};
+    const restored_state blank{founder("a"), all, {}, nullptr, {}};
+    const replica_options options;
+    const time_point heard{1min};
+    replica resumed{blank, options, 1, heard + 100ms, heard};
+    const envelope asked{founder("b"), founder("a"), vote_request{term_number{1}, false, {}, {}}};
+    const auto votes_at = [&](time_point now) {
+        resumed.receive(now, asked);
+        const auto out = resumed.take_output();
+        CHECK_EQUAL(1, out.messages.size());
+        return std::get<vote_answer>(out.messages.front().body).granted;
+    };
+    CHECK_FALSE(votes_at(heard + options.vote_silence - 1ms));
+    CHECK_TRUE(votes_at(heard + options.vote_silence));
+}
