Let a control host take part again a quarter of a second after its disk has room

Operators waited for changes while disks of control hosts were full one after another and never two at once: a host whose disk has room again stayed stopped for up to a second more. With three control hosts the next full disk then leaves one member, which is no majority.

Cause: a stopped member tried to resume once a second, and the spans of full disks are seconds themselves.

Now it tries four times a second.

The control program of the product's own interface still tries once a second.

--- a/bth/consensus/testing/fake_group.cpp
+++ b/bth/consensus/testing/fake_group.cpp
@@ -9,14 +9,15 @@
 namespace {
 
 constexpr duration tick_interval = std::chrono::milliseconds{20};
-constexpr duration resume_interval = std::chrono::seconds{1};
+constexpr duration resume_interval = std::chrono::milliseconds{250};
 constexpr std::int64_t thousand = 1000;
 // Clocks differ by up to this many thousandths, which the lease's margin covers.
 constexpr std::int64_t clock_spread = 20;
 
 } // namespace
 
-fake_group::fake_group(std::uint64_t seed, std::size_t hosts) : generator{seed}
+fake_group::fake_group(std::uint64_t seed, std::size_t hosts, replica_options options)
+    : generator{seed}, options{std::move(options)}
 {
     for (std::size_t i = 0; i < hosts; ++i) {
         host each;
@@ -234,6 +235,7 @@
     settings.fresh_life = incarnation{each.life};
     settings.log_bytes = this->log_bytes;
     settings.seed = this->up_to(1'000'000);
+    settings.replica = this->options;
     const auto seeds = std::min(this->seed_count.value_or(this->hosts.size()), this->hosts.size());
     for (std::size_t i = 0; i < seeds; ++i) {
         settings.replica.seeds.push_back(this->hosts.at(i).name);
--- a/bth/consensus/testing/fake_group.h
+++ b/bth/consensus/testing/fake_group.h
@@ -41,7 +41,8 @@
 
 class fake_group {
 public:
-    fake_group(std::uint64_t seed, std::size_t hosts);
+    // The seeds and the retained entries among the options are the group's own.
+    fake_group(std::uint64_t seed, std::size_t hosts, replica_options options = {});
 
     std::size_t size() const { return this->hosts.size(); }
     time_point now() const { return this->clock; }
@@ -137,6 +138,7 @@
     void check_history(host& each);
     void check_leader(const host& each, const replica_status& now_is);
 
+    replica_options options;
     time_point clock;
     std::uint64_t sequence{};
     std::map<std::pair<time_point, std::uint64_t>, std::function<void()>> events;
--- a/bth/fleet/group_driver.h
+++ b/bth/fleet/group_driver.h
@@ -132,7 +132,7 @@
 
     // Interval of attempts to resume after the log couldn't be written. Each one reads the whole
     // log.
-    static constexpr std::chrono::seconds resume_interval{1};
+    static constexpr std::chrono::milliseconds resume_interval{250};
     // Shorter ticks would only cost processor time on the followers: election timeouts are twenty
     // to thirty times as long.
     static constexpr std::chrono::milliseconds tick_interval{30};
--- a/process_tests/platform_disk_test.py
+++ b/process_tests/platform_disk_test.py
@@ -1,4 +1,5 @@
 """Control hosts whose disks take no bytes for a while, as processes."""
+import json
 import time
 
 import harness
@@ -9,6 +10,10 @@
 APPLY_SECONDS = 2.5
 # Time after which a host that can write again must hold what the others agreed on.
 CATCH_UP_SECONDS = 4
+# Time in which a change must be acknowledged (ackTimeoutS).
+ACKNOWLEDGE_SECONDS = 4
+# Time after which a stopped host whose disk has room again takes part: two attempts and the reading of its metric.
+RESUME_SECONDS = 0.6
 
 
 class PlatformDiskTest(PlatformFleet):
@@ -67,6 +72,41 @@
         # Operators' clients turn to another control host after a second.
         self.assertLess(time.monotonic() - begun, 1)
 
+    def stop_by_full_disk(self, domain):
+        """Fills the disk and returns once the host takes no part in the group."""
+        self.fill_disk(domain)
+        self.put_version(2)
+        self.until(lambda: self.metric(domain, "bth_control_group_running") == 0, "the host has stopped")
+
+    def test_host_takes_part_soon_after_its_disk_has_room(self):
+        leader = self.leader()
+        full = next(each for each in DOMAINS if each != leader)
+        self.stop_by_full_disk(full)
+        # Later than an attempt at a whole second after the stop.
+        time.sleep(1.15)
+        self.free_disk(full)
+        begun = time.monotonic()
+        self.until(lambda: self.metric(full, "bth_control_group_running") == 1, "the host takes part again")
+        self.assertLess(time.monotonic() - begun, RESUME_SECONDS)
+
+    def test_changes_are_agreed_after_all_disks_were_full_one_after_another(self):
+        version = 2
+        for _ in range(2):
+            for _ in DOMAINS:
+                full = self.leader()
+                self.fill_disk(full)
+                self.put_version(version)
+                version += 1
+                self.free_disk(full)
+        begun = time.monotonic()
+        acknowledged_at = self.put_version(version)
+        self.assertLess(acknowledged_at - begun, ACKNOWLEDGE_SECONDS)
+        self.assert_in_force(version, acknowledged_at)
+        for domain in DOMAINS:
+            self.assert_catches_up(domain, version)
+        status, text = self.operate("GET", "/-/configuration")
+        self.assertEqual((status, json.loads(text)["version"]), (200, f"r{version}"))
+
 
 if __name__ == "__main__":
     harness.main()
