Let a host that sends for a stopping one await a late answer

A host that reaches no target lets others send its requests. While it stops, a caller got 504 for a relayed request whose target had just ended it at its deadline.

Cause: the sending host gave the request up 0.1 s after its deadline, though the stopping host waits for 0.2 s since "Wait for late answers until a stopping host must write".

Evidence: the new test, with targets whose answer leaves 0.13 s after their deadline, on the code before: three of three requests were answered 504 without a target's receipt:

self.assertEqual([each for each in at_targets if not each.is_of_target], []) First list contains 3 additional elements. KeptRequest(number='', sent=2461.942288309, status=504, ended=2464.343304043, ..., is_of_target=False)

Fix: the sending host waits for 0.3 s. It doesn't hold a request for longer than its caller waits: the host that took it cancels it then, and the loss of their connection ends it.

--- a/bth/gateway/gateway_contact.cpp
+++ b/bth/gateway/gateway_contact.cpp
@@ -306,7 +306,7 @@
         shell::monotonic_now() + std::chrono::duration_cast<duration>(handoff->remaining_time);
     boost::asio::steady_timer timer{*this->context};
     timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-        handoff->remaining_time + internal::late_response_wait));
+        handoff->remaining_time + internal::forwarded_response_wait));
     timer.async_wait([control](const boost::system::error_code& error) {
         if (!error) {
             control->deadline_passed = true;
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -19,8 +19,8 @@
 using dispatch::fractional_ms;
 using dispatch::send_outcome;
 using internal::decline_name;
+using internal::forwarded_response_wait;
 using internal::is_completed;
-using internal::late_response_wait;
 using internal::view;
 using route::repeatability;
 
@@ -613,7 +613,7 @@
     }
     boost::asio::steady_timer timer{*this->context};
     timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-        handoff->remaining_time + late_response_wait));
+        handoff->remaining_time + forwarded_response_wait));
     timer.async_wait([control](const boost::system::error_code& error) {
         if (!error) {
             control->deadline_passed = true;
--- a/bth/gateway/internal/request_path.h
+++ b/bth/gateway/internal/request_path.h
@@ -13,6 +13,9 @@
 // Time after the deadline for which a response is still accepted if the caller still waits: a
 // target may respond just as its time runs out.
 inline constexpr std::chrono::milliseconds late_response_wait{100};
+// The same at a host that sends a request for another one. That host ends the request sooner if its
+// caller stops waiting; a stopping host waits for longer than `late_response_wait`.
+inline constexpr std::chrono::milliseconds forwarded_response_wait{300};
 
 // How long a probe of a target waits whether a connection that was accepted is reset at once,
 // longer than a reset takes inside a region.
--- a/process_tests/platform_stop_relay_test.py
+++ b/process_tests/platform_stop_relay_test.py
@@ -98,6 +98,20 @@
         self.receive_all(connections)
         self.assertEqual([each.status for each in requests], [200] * len(requests))
 
+    def test_late_answer_that_another_host_awaits_is_not_replaced(self):
+        self.relay_requests_of_n1()
+        for each in self.targets:
+            each.__class__ = Target
+            each.seconds, each.ends_at_deadline, each.late_s = 2.5, True, 0.13
+        connections = [KeptConnection(self.listen("entry-n1", "callers")) for _ in range(3)]
+        stopped = self.stop("n1")
+        time.sleep(max(0, stopped + TAKES_CALLERS_S - 0.5 - time.monotonic()))
+        late = [each.send(self.next_number(), path="/pay/a", deadline_ms=7900) for each in connections]
+        self.receive_all(connections)
+        at_targets = [each for each in late if each.number in self.arrivals()]
+        self.assertGreater(len(at_targets), 0)
+        self.assertEqual([each for each in at_targets if not each.is_of_target], [])
+
     def test_target_whose_connection_took_long_is_told_what_is_left(self):
         wanted = configuration(2, ROUTES, ["orders"])
         for route in wanted["routes"].values():
