Test late bodies and payments at the end of the time for callers

Requests whose body is complete 4 to 5.5 s after the signal are answered by their target or refused unsent with 503. Callers that keep their connections across the end of the time for callers lose no request that may run once, and get no refusal for one that ran.

--- a/process_tests/platform_stop_test.py
+++ b/process_tests/platform_stop_test.py
@@ -9,7 +9,7 @@
 import harness
 from kept_connection import KeptConnection, KeptRequest, keep_calling
 from platform_fleet import ROUTES, PlatformFleet
-from platform_standins import configuration
+from platform_standins import PREFIX, REQUEST_ID, configuration
 
 # The settings of the fleet: the grace time, the life of a look-up, and three times that, for which a stopping host takes callers.
 GRACE_S = 6
@@ -134,6 +134,59 @@
                 time.sleep(0.2)
                 self.assertIsNone(running["n1"].popen.poll())
 
+    def begin_request(self, connection, path, length, sent):
+        """Sends the head of a request with a body of `length`, and `sent` of the body."""
+        request = KeptRequest(self.next_number(), time.monotonic())
+        head = [f"POST {path} HTTP/1.1", "Host: shop.example", f"{REQUEST_ID}: {request.number}",
+                f"{PREFIX}Deadline-Milliseconds: 8000", f"Content-Length: {length}"]
+        connection.waiting.append(request)
+        connection.socket.sendall("\r\n".join([*head, "", ""]).encode() + sent)
+        return request
+
+    def test_request_that_is_complete_late_is_answered_or_refused_unsent(self):
+        self.allow_long_requests()
+        for each in self.targets:
+            each.seconds, each.ends_at_deadline = 0.8, True
+        complete_at = [4.0, 4.6, 5.0, 5.2, 5.3, 5.4, 5.45, 5.5]
+        connections = [self.connect() for _ in complete_at]
+        requests = [self.begin_request(each, "/pay/a", 3, b"a") for each in connections]
+        stopped = self.stop()
+        for connection, at in zip(connections, complete_at):
+            time.sleep(max(0, stopped + at - time.monotonic()))
+            connection.socket.sendall(b"bc")
+        self.receive_all(connections)
+        arrivals = self.arrivals()
+        self.assertEqual([each for each in requests if each.status is None], [])
+        sent = [each for each in requests if each.number in arrivals]
+        self.assertGreater(len(sent), 0)
+        self.assertEqual([each for each in sent if not each.is_of_target], [])
+        self.assertEqual([each for each in requests if each.number not in arrivals and each.status != 503], [])
+        self.assert_exits()
+
+    def test_callers_that_cross_the_end_of_the_time_for_callers_lose_no_payment(self):
+        for each in self.targets:
+            each.seconds = 0.05
+        over = threading.Event()
+        results = []
+
+        def call(row):
+            results.append(keep_calling(self.connect, self.next_number, random.Random(row), over.is_set, most_pause=0.02,
+                                        make_path=lambda chance: "/pay/a"))
+
+        callers = [threading.Thread(target=call, args=(row,)) for row in range(8)]
+        for each in callers:
+            each.start()
+        time.sleep(0.5)
+        stopped = self.stop()
+        self.assert_exits()
+        over.set()
+        for each in callers:
+            each.join()
+        requests = list(itertools.chain(*results))
+        self.assertGreater(len([each for each in requests if each.sent > stopped + TAKES_CALLERS_S - 0.5]), 0)
+        self.assert_none_lost(requests)
+        self.assertEqual([each for each in requests if each.status in (408, 421, 429, 503) and self.runs_of(each.number)], [])
+
     def test_answer_that_leaves_its_target_late_is_not_replaced(self):
         self.allow_long_requests()
         for each in self.targets:
