Refuse requests that may outlast a stop in its second half

Estimates are of means; a request that came before the middle of the grace time has half of it.

In its second half a stopping host now takes only requests that can use all their time, and refuses others at once with 503.

--- a/bth/gateway/caller_response_test.cpp
+++ b/bth/gateway/caller_response_test.cpp
@@ -117,6 +117,13 @@
     CHECK(plan.exit_by < 1s);
 }
 
+TEST(stop_plan, requests_that_may_outlast_the_stop_are_accepted_in_its_first_half)
+{
+    for (const auto grace : {1s, 3s, 6s, 30s}) {
+        CHECK(plan_stop(grace, 5s).accept_long_until == bth::duration{grace} / 2);
+    }
+}
+
 TEST(stop_plan, requests_in_flight_keep_most_of_any_grace_time)
 {
     for (const auto grace : {1s, 2s, 3s, 6s, 30s}) {
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -419,8 +419,14 @@
     }
     state.caller_deadline = state.deadline;
     state.objective_deadline = request->started + matched_route->objective;
-    if (this->answer_by && *this->answer_by < state.deadline) {
-        state.deadline = *this->answer_by;
+    if (this->stop && this->stop->answer_by < state.deadline) {
+        if (request->started >= this->stop->accept_long_until) {
+            // Estimates of its time are too rough to tell, and another host has the time.
+            co_return this->finish(
+                state, this->refuse(state, refusal_reason::shutting_down, min_retry_after),
+                "refusal");
+        }
+        state.deadline = this->stop->answer_by;
         state.is_due_before_stop = true;
     }
 
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -76,6 +76,12 @@
     duration key_validity{};
 };
 
+// The times of a stop; see stop_plan.
+struct stop_times {
+    time_point accept_long_until;
+    time_point answer_by;
+};
+
 // A request of a caller that is being served.
 struct served_request {
     caller_request message;
@@ -146,9 +152,10 @@
     void sweep(time_point now) { this->connections.sweep(now); }
 
     // Begins the stop of this host: requests that come from now on are answered by `answer_by`, or
-    // refused at once if they would take longer. The process must not exit before.
-    void begin_stop(time_point answer_by) { this->answer_by = answer_by; }
-    bool is_stopping() const { return this->answer_by.has_value(); }
+    // refused at once if they would take longer, or might after `accept_long_until`. The process
+    // must not exit before.
+    void begin_stop(const stop_times& times) { this->stop = times; }
+    bool is_stopping() const { return this->stop.has_value(); }
     // Ends the requests of callers that are in flight as if their deadlines had passed.
     void end_requests();
 
@@ -371,7 +378,7 @@
     std::optional<time_point> last_contact;
     std::function<void()> usage_handler;
     // When the last responses are due; set once this host stops.
-    std::optional<time_point> answer_by;
+    std::optional<stop_times> stop;
     // The loads observed here, and the place up to which they were reported.
     dispatch::load_board loads;
     std::uint64_t reported_loads{};
--- a/bth/gateway/stop_plan.h
+++ b/bth/gateway/stop_plan.h
@@ -14,6 +14,8 @@
     // New connections and requests are accepted until then, since callers may still use lookup
     // responses that name this host.
     duration accept_until{};
+    // Requests that may take until after `answer_by` are accepted until then: most take less.
+    duration accept_long_until{};
     // The responses to requests that arrive after the signal are due then.
     duration answer_by{};
     // Requests of callers that are still in flight end then with a response of this host, so that
@@ -52,7 +54,7 @@
     const duration latest_accept_until = std::max<duration>(grace - drain_time, duration{});
     const duration exit_by = std::max<duration>(grace - exit_margin, duration{});
     const duration end_requests_at = std::max<duration>(exit_by - write_time, duration{});
-    return {std::min(lookup_expiry, latest_accept_until),
+    return {std::min(lookup_expiry, latest_accept_until), grace / 2,
             std::max<duration>(end_requests_at - response_margin, duration{}), end_requests_at,
             exit_by};
 }
