Judge late answers by when their target woke

There the stand-in was told to end at 5.41 s after the signal and had written nothing when the host gave the request up at about 5.6 s, though it should have begun 0.13 s after its deadline. Suspected: the test's process, in which the stand-ins run, got no processor.

--- a/process_tests/platform_standins.py
+++ b/process_tests/platform_standins.py
@@ -108,6 +108,8 @@
     leaving: bool = False
     rest: str = None
     limit: str = None
+    # By how much the target passed the time that it was told before it began its answer, if it did.
+    overran: float = 0
     # When the answer had been written; nothing before that.
     answered: float = None
 
@@ -215,6 +217,7 @@
         left = int(request.headers[PREFIX + "Deadline-Milliseconds"] or 0) / 1000
         if self.ends_at_deadline and self.seconds > left:
             time.sleep(left + self.late_s)
+            arrival.overran = time.monotonic() - arrival.at - left
             self.finish(request, arrival, 504, [*echo, (RECEIPT, "seal-" + number)])
             return
         time.sleep(self.seconds)
