Tell a full link of the own host from the loss of all targets

Callers of hosts whose own link was full saw their requests relayed over that same link, or refused. The probes had no control, so that "no target can be reached" and "nothing can be reached in time" looked the same.

Probes that test a suspicion now go to three other ready entry hosts as well. If all probes of targets and at least two of the hosts time out, no host answers, and an answer has arrived since connections began to fail, the host isn't cut off. A refusal by a target, an answer of a host, or fewer than two hosts to compare is a cut as before, and a host that nothing reaches is found by its first test. A connection that is closed before its hello is harmless to links; a test covers that (it passes without the change).

--- a/bth/dispatch/target_contact.cpp
+++ b/bth/dispatch/target_contact.cpp
@@ -29,6 +29,7 @@
         this->failures.clear();
     }
     this->last_answers[target] = now;
+    this->last_answer_at = now;
     if (this->last_answers.size() > max_remembered_targets) {
         this->last_answers.erase(std::min_element(
             this->last_answers.begin(), this->last_answers.end(),
@@ -85,16 +86,53 @@
     return out;
 }
 
-bool target_contact::record_probes(time_point now, std::size_t probed, std::size_t reached)
+std::vector<std::string> target_contact::choose_neighbours(const std::vector<roster_host>& ready,
+                                                           std::string_view own_domain)
+{
+    if (this->cut_off) {
+        return {};
+    }
+    std::vector<const roster_host*> elsewhere;
+    std::vector<const roster_host*> in_own_domain;
+    for (const auto& each : ready) {
+        (each.domain == own_domain ? in_own_domain : elsewhere).push_back(&each);
+    }
+    std::vector<std::string> out;
+    for (const auto& hosts : {elsewhere, in_own_domain}) {
+        const auto count = std::min(max_neighbour_probes - out.size(), hosts.size());
+        for (std::size_t i = 0; i < count; ++i) {
+            out.push_back(hosts[(this->neighbour_turn + i) % hosts.size()]->name);
+        }
+    }
+    this->neighbour_turn += max_neighbour_probes;
+    return out;
+}
+
+bool target_contact::has_fresh_answer(time_point now) const
+{
+    if (!this->last_answer_at || now - *this->last_answer_at > answer_memory) {
+        return false;
+    }
+    // Answers from before the first failure may be the last ones before all connections were lost.
+    return std::any_of(this->failures.begin(), this->failures.end(), [&](const auto& each) {
+        return each.second + failure_memory >= now && each.second <= *this->last_answer_at;
+    });
+}
+
+bool target_contact::record_probes(time_point now, const probe_results& targets,
+                                   const probe_results& neighbours)
 {
     this->last_probes_at = now;
     this->has_probed = true;
-    if (reached > 0) {
+    if (targets.reached > 0) {
         this->failures.clear();
         this->unanswered.clear();
     }
+    this->link_full = !this->cut_off && needs_neighbours(targets) && neighbours.reached == 0 &&
+                      neighbours.timed_out >= neighbours_to_compare && this->has_fresh_answer(now);
     // Targets that ended during a cut are never reached again, so one that is reached is enough.
-    const bool is_cut_off_now = reached == 0 && (probed > 0 || this->cut_off);
+    const bool is_cut_off_now =
+        targets.reached == 0 && !this->link_full && (targets.probed > 0 || this->cut_off);
     if (std::exchange(this->cut_off, is_cut_off_now) == is_cut_off_now) {
         return false;
     }
--- a/bth/fleet/entry_agent.cpp
+++ b/bth/fleet/entry_agent.cpp
@@ -93,6 +93,12 @@
     this->held_index = agreed;
 }
 
+std::optional<endpoint> entry_agent::peer_endpoint(const std::string& host) const
+{
+    const auto address = parse_ipv4_address(host);
+    return address ? std::optional{endpoint{*address, this->settings.peer_port}} : std::nullopt;
+}
+
 void entry_agent::use_entry_host(const std::string& host)
 {
     this->neighbours.record_use(shell::monotonic_now(), host);
@@ -170,10 +176,10 @@
     this->connected_hosts = peers;
     std::vector<shell::peer_address> addresses;
     for (const auto& each : peers) {
-        const auto address = parse_ipv4_address(each);
-        if (address && each != this->name) {
+        const auto where = this->peer_endpoint(each);
+        if (where && each != this->name) {
             // The other side doesn't know that a connection is needed and won't dial.
-            addresses.push_back({each, {*address, this->settings.peer_port}, true});
+            addresses.push_back({each, *where, true});
         }
     }
     this->link->set_peers(addresses);
--- a/bth/fleet/entry_agent.h
+++ b/bth/fleet/entry_agent.h
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,9 @@
     // The link to the control host and to the entry hosts that are in use.
     const std::shared_ptr<shell::peer_link>& peer_link() const { return this->link; }
 
+    // Returns where another entry host listens for the hosts of the fleet, or nullopt if its name
+    // is no address.
+    std::optional<endpoint> peer_endpoint(const std::string& host) const;
     // Connects to another entry host, or keeps the connection to it; see neighbour_table.
     void use_entry_host(const std::string& host);
 
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -102,6 +102,12 @@
     // that other hosts forward to this one. `use_host` connects the link to a host.
     void enable_forwarding(std::shared_ptr<shell::peer_link> link,
                            request_forwarder::use_handler use_host);
+    // Sets what returns where another entry host listens for the hosts of the fleet; nullopt if
+    // that is unknown.
+    void set_host_resolver(std::function<std::optional<endpoint>(const std::string& host)> resolver)
+    {
+        this->host_resolver = std::move(resolver);
+    }
     // Returns the number of requests in flight that other hosts forwarded to this one.
     std::size_t forwarded_in_flight() const
     {
@@ -254,12 +260,26 @@
     void record_contact(time_point now, const dispatch::target& target, const send_result& result);
     // Starts to test a suspicion that this host is cut off, if there is one to be tested.
     void start_watching_contact(time_point now);
-    duration connect_timeout(const dispatch::target& target) const;
+    // Returns how long a connection to a process in the failure domain may take.
+    duration connect_timeout(const std::string& domain) const;
     // Probes targets until a suspicion is settled and, if this host is cut off, until it reaches a
     // target again.
     boost::asio::awaitable<void> watch_contact();
-    // Probes several targets at the same time. Returns how many were reached.
-    boost::asio::awaitable<std::size_t> probe_all(std::vector<dispatch::target_ptr> targets);
+    // The results of the probes that test a suspicion.
+    struct contact_results {
+        dispatch::probe_results targets;
+        dispatch::probe_results neighbours;
+    };
+    struct probed_host {
+        endpoint address;
+        duration timeout{};
+    };
+    // Probes targets and other entry hosts, all at the same time. Doesn't wait for the hosts once
+    // the targets alone tell enough.
+    boost::asio::awaitable<contact_results> probe_all(std::vector<dispatch::target_ptr> targets,
+                                                      std::vector<probed_host> hosts);
+    // Selects the other entry hosts to probe beside the targets.
+    std::vector<probed_host> choose_probed_hosts();
     void apply_contact_change(time_point now);
     // Waits until a suspicion that this host is cut off is settled, for a moment at most.
     boost::asio::awaitable<void> await_contact_test();
@@ -388,6 +408,7 @@
     // The hosts that a control host named to send requests of this one while it is cut off.
     std::vector<fleet::relay_host> relay_hosts;
     std::shared_ptr<request_forwarder> forwarder;
+    std::function<std::optional<endpoint>(const std::string& host)> host_resolver;
     std::size_t in_flight{};
     std::mt19937 random{std::random_device{}()};
 };
--- a/bth/gateway/gateway_contact.cpp
+++ b/bth/gateway/gateway_contact.cpp
@@ -49,9 +49,8 @@
 
 } // namespace
 
-duration gateway::connect_timeout(const dispatch::target& target) const
+duration gateway::connect_timeout(const std::string& domain) const
 {
-    const auto& domain = target.info().domain;
     const auto from_here = dispatch::distance_between(this->settings.domain, this->region, domain,
                                                       this->board.region_of(domain));
     return std::chrono::duration_cast<duration>(this->delays.connect_timeout(domain, from_here));
@@ -109,12 +108,27 @@
                 targets.push_back(std::move(target));
             }
         }
-        const auto probed = targets.size();
-        const auto reached = co_await this->probe_all(std::move(targets));
+        auto hosts = this->choose_probed_hosts();
+        const auto results = co_await this->probe_all(std::move(targets), std::move(hosts));
         const auto now = shell::monotonic_now();
-        if (this->contact.record_probes(now, probed, reached)) {
+        if (this->contact.record_probes(now, results.targets, results.neighbours)) {
+            this->events->write(shell::event{"targets_probed"}
+                                    .with("targets", results.targets.probed)
+                                    .with("reached", results.targets.reached)
+                                    .with("timed_out", results.targets.timed_out)
+                                    .with("neighbours", results.neighbours.probed)
+                                    .with("neighbours_reached", results.neighbours.reached)
+                                    .with("neighbours_timed_out", results.neighbours.timed_out),
+                                shell::event_weight::essential);
             this->apply_contact_change(now);
         }
+        else if (this->contact.is_link_full()) {
+            // What failed says nothing of the targets.
+            this->board.forget_failures();
+            this->events->write(shell::event{"link_full"}
+                                    .with("targets", results.targets.timed_out)
+                                    .with("neighbours", results.neighbours.timed_out));
+        }
         if (!this->contact.is_cut_off()) {
             break;
         }
@@ -125,43 +139,92 @@
     this->watches_contact = false;
 }
 
-boost::asio::awaitable<std::size_t> gateway::probe_all(std::vector<dispatch::target_ptr> targets)
+std::vector<gateway::probed_host> gateway::choose_probed_hosts()
+{
+    std::vector<probed_host> out;
+    if (!this->host_resolver) {
+        return out;
+    }
+    const auto ready = this->senders.ready_hosts();
+    for (const auto& name : this->contact.choose_neighbours(ready, this->settings.domain)) {
+        const auto host = std::find_if(ready.begin(), ready.end(),
+                                       [&](const auto& each) { return each.name == name; });
+        if (const auto address = this->host_resolver(name)) {
+            out.push_back({*address, this->connect_timeout(host->domain)});
+        }
+    }
+    return out;
+}
+
+boost::asio::awaitable<gateway::contact_results>
+gateway::probe_all(std::vector<dispatch::target_ptr> targets, std::vector<probed_host> hosts)
 {
     struct probe_round {
-        explicit probe_round(boost::asio::io_context& context) : all_ended{context} {}
+        explicit probe_round(boost::asio::io_context& context) : settled{context} {}
 
-        std::size_t pending{};
-        std::size_t reached{};
-        // Never expires; cancelled when the last probe has ended.
-        boost::asio::steady_timer all_ended;
+        bool is_settled() const
+        {
+            return this->pending_targets == 0 &&
+                   (this->pending_hosts == 0 || this->results.neighbours.reached > 0 ||
+                    !dispatch::target_contact::needs_neighbours(this->results.targets));
+        }
+
+        std::size_t pending_targets{};
+        std::size_t pending_hosts{};
+        contact_results results;
+        // Never expires; cancelled when enough probes have ended.
+        boost::asio::steady_timer settled;
     };
     const auto round = std::make_shared<probe_round>(*this->context);
-    round->pending = targets.size();
-    round->all_ended.expires_at(std::chrono::steady_clock::time_point::max());
+    round->results.targets.probed = round->pending_targets = targets.size();
+    round->results.neighbours.probed = round->pending_hosts = hosts.size();
+    round->settled.expires_at(std::chrono::steady_clock::time_point::max());
     for (const auto& target : targets) {
         boost::asio::co_spawn(
             *this->context,
             [self = shared_from_this(), round, target]() -> boost::asio::awaitable<void> {
-                const auto timeout = self->connect_timeout(*target);
+                const auto timeout = self->connect_timeout(target->info().domain);
                 // A named object, since g++ 12 destroys temporaries in the operand of co_await
                 // twice.
                 std::string id = target->info().id;
                 const auto reachability =
                     co_await probe_target(self->connections, std::move(id),
                                           target->info().target_endpoint, timeout, probe_hold);
-                round->reached += reachability == target_reachability::accepts ? 1 : 0;
-                if (--round->pending == 0) {
-                    round->all_ended.cancel();
+                auto& results = round->results.targets;
+                results.reached += reachability == target_reachability::accepts ? 1 : 0;
+                results.timed_out += reachability == target_reachability::silent ? 1 : 0;
+                --round->pending_targets;
+                if (round->is_settled()) {
+                    round->settled.cancel();
+                }
+            },
+            boost::asio::detached);
+    }
+    for (const auto& host : hosts) {
+        boost::asio::co_spawn(
+            *this->context,
+            [round, host]() -> boost::asio::awaitable<void> {
+                const auto reachability = co_await probe_process(host.address, host.timeout);
+                auto& results = round->results.neighbours;
+                // A refusal has come over this host's link as well.
+                results.reached += reachability == target_reachability::accepts ||
+                                           reachability == target_reachability::refuses
+                                       ? 1
+                                       : 0;
+                results.timed_out += reachability == target_reachability::silent ? 1 : 0;
+                --round->pending_hosts;
+                if (round->is_settled()) {
+                    round->settled.cancel();
                 }
             },
             boost::asio::detached);
     }
-    if (round->pending > 0) {
+    if (!round->is_settled()) {
         boost::system::error_code ignored;
-        co_await round->all_ended.async_wait(
+        co_await round->settled.async_wait(
             boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     }
-    co_return round->reached;
+    co_return round->results;
 }
 
 void gateway::apply_contact_change(time_point now)
--- a/bth/gateway/gateway_crashes.cpp
+++ b/bth/gateway/gateway_crashes.cpp
@@ -86,7 +86,7 @@
     std::string id = target->info().id;
     const auto reachability =
         co_await probe_target(this->connections, std::move(id), target->info().target_endpoint,
-                              this->connect_timeout(*target), probe_hold);
+                              this->connect_timeout(target->info().domain), probe_hold);
     const auto now = shell::monotonic_now();
     if (reachability == target_reachability::accepts) {
         this->contact.record_connection();
--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -312,7 +312,7 @@
     const auto started = shell::monotonic_now();
     const auto target = outgoing.placement.target;
     const auto& domain = target->info().domain;
-    const auto connect_limit = this->connect_timeout(*target);
+    const auto connect_limit = this->connect_timeout(target->info().domain);
     target->begin_request(started, outgoing.object);
     target_request request{target->info().id,
                            target->info().target_endpoint,
--- a/bth/gateway/target_probe_test.cpp
+++ b/bth/gateway/target_probe_test.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -35,6 +36,19 @@
     return out;
 }
 
+target_reachability probe_host(asio::io_context& context, std::uint16_t port)
+{
+    auto out = target_reachability::unknown;
+    const auto run = [&]() -> asio::awaitable<void> {
+        const bth::endpoint where{{0x7f000001}, port};
+        out = co_await probe_process(where, 100ms);
+    };
+    asio::co_spawn(context, run, asio::detached);
+    context.run();
+    context.restart();
+    return out;
+}
+
 // Sends a request to a target that answers with `answer` and then closes the connection.
 send_result send_to_closing_target(const std::string& answer)
 {
@@ -99,6 +113,31 @@
     LONGS_EQUAL(0, pool.size());
 }
 
+// The queue of a listener that accepts nothing is full, so that further connections hang.
+TEST(target_probe, tells_silence_from_refusal)
+{
+    asio::io_context context;
+    target_connection_pool pool;
+    tcp::acceptor acceptor{context};
+    acceptor.open(tcp::v4());
+    acceptor.bind(tcp::endpoint{asio::ip::address_v4::loopback(), 0});
+    acceptor.listen(0);
+    const auto port = acceptor.local_endpoint().port();
+    CHECK(probe_host(context, port) == target_reachability::accepts);
+    // Never run: the connections are only begun.
+    asio::io_context waiting;
+    std::vector<tcp::socket> fillers;
+    for (int i = 0; i < 4; ++i) {
+        fillers.emplace_back(waiting).async_connect(acceptor.local_endpoint(), [](const auto&) {});
+    }
+    CHECK(probe_host(context, port) == target_reachability::silent);
+    CHECK(probe(context, pool, port) == target_reachability::silent);
+    LONGS_EQUAL(0, pool.size());
+    fillers.clear();
+    acceptor.close();
+    CHECK(probe_host(context, port) == target_reachability::refuses);
+}
+
 TEST(target_probe, a_connection_that_ends_differs_from_bytes_that_are_no_answer)
 {
     const auto ended = send_to_closing_target("");
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -129,6 +129,21 @@
     return id == request.request_id;
 }
 
+target_reachability reachability_of(const boost::system::error_code& connect_error)
+{
+    if (!connect_error) {
+        return target_reachability::accepts;
+    }
+    if (connect_error == asio::error::connection_refused) {
+        return target_reachability::refuses;
+    }
+    // connect() aborts a connection that takes too long.
+    return connect_error == asio::error::operation_aborted ||
+                   connect_error == asio::error::timed_out
+               ? target_reachability::silent
+               : target_reachability::unknown;
+}
+
 bool states_not_run(const target_response& response, const field_names& names)
 {
     return response.result() == http::status::misdirected_request ||
@@ -355,11 +370,8 @@
     set_close_handler(*control, *connection);
     const auto error = co_await connect(*connection, control, address, timeout);
     control->close = nullptr;
-    if (error == asio::error::connection_refused) {
-        co_return target_reachability::refuses;
-    }
     if (error) {
-        co_return target_reachability::unknown;
+        co_return reachability_of(error);
     }
     if (hold > duration{}) {
         asio::steady_timer timer{co_await asio::this_coro::executor};
@@ -375,4 +387,14 @@
     co_return target_reachability::accepts;
 }
 
+asio::awaitable<target_reachability> probe_process(endpoint address, duration timeout)
+{
+    target_connection connection{co_await asio::this_coro::executor};
+    const auto control = std::make_shared<send_control>();
+    set_close_handler(*control, connection);
+    const auto error = co_await connect(connection, control, address, timeout);
+    control->close = nullptr;
+    co_return reachability_of(error);
+}
+
 } // namespace bth::gateway
--- a/bth/gateway/target_send.h
+++ b/bth/gateway/target_send.h
@@ -84,7 +84,8 @@
 enum class target_reachability : std::uint8_t {
     accepts,
     refuses, // No process listens there.
-    unknown, // No answer came in time, or the host can't connect.
+    silent,  // No answer came in time.
+    unknown, // The connection was reset at once, or this host can't connect.
 };
 
 // Returns the result of an attempt that ended without a response. `may_have_been_sent`: a byte of
@@ -102,4 +103,7 @@
                                                          std::string target_id, endpoint address,
                                                          duration timeout, duration hold);
 
+// Opens a connection to another process and closes it at once.
+boost::asio::awaitable<target_reachability> probe_process(endpoint address, duration timeout);
+
 } // namespace bth::gateway
--- a/bth/shell/peer_link_test.cpp
+++ b/bth/shell/peer_link_test.cpp
@@ -194,6 +194,28 @@
     b.link->stop();
 }
 
+TEST(peer_link, connection_that_is_closed_before_its_hello_disturbs_nothing)
+{
+    link_process a{context, "a", 1};
+    link_process b{context, "b", 2};
+    const auto at_b = free_endpoint(context);
+    CHECK_TRUE(b.link->listen(at_b).has_value());
+    a.link->set_peers({{"b", at_b}});
+    CHECK_TRUE(run_until(context, [&] { return a.connects == 1 && b.connects == 1; }));
+    for (int i = 0; i < 20; ++i) {
+        boost::asio::ip::tcp::socket socket{context};
+        socket.connect(bth::shell::to_asio(at_b));
+    }
+    CHECK_TRUE(a.send("b", "first"));
+    CHECK_TRUE(run_until(context, [&] { return b.got.size() == 1; }));
+    CHECK_TRUE(b.send("a", "second"));
+    CHECK_TRUE(run_until(context, [&] { return a.got.size() == 1; }));
+    LONGS_EQUAL(1, a.connects + a.losses);
+    LONGS_EQUAL(1, b.connects + b.losses);
+    a.link->stop();
+    b.link->stop();
+}
+
 TEST(peer_link, full_queue_refuses_and_takes_nothing)
 {
     auto link = std::make_shared<bth::shell::peer_link>(
