Take any answer of the last second as a sign of a full link

A host with few answers a second often has none in that time.

An answer within the last second now tells of a full link, whenever connections began to fail. What it costs: a host that reaches neither targets nor other hosts finds that up to a second later; it could ask no other host meanwhile.

--- a/bth/dispatch/target_contact.cpp
+++ b/bth/dispatch/target_contact.cpp
@@ -110,13 +110,7 @@
 
 bool target_contact::has_fresh_answer(time_point now) const
 {
-    if (!this->last_answer_at || now - *this->last_answer_at > answer_memory) {
-        return false;
-    }
-    // Answers from before the first failure may be the last ones before all connections were lost.
-    return std::any_of(this->failures.begin(), this->failures.end(), [&](const auto& each) {
-        return each.second + failure_memory >= now && each.second <= *this->last_answer_at;
-    });
+    return this->last_answer_at && now - *this->last_answer_at <= answer_memory;
 }
 
 bool target_contact::record_probes(time_point now, const probe_results& targets,
--- a/bth/dispatch/target_contact.h
+++ b/bth/dispatch/target_contact.h
@@ -64,7 +64,9 @@
     static constexpr std::size_t max_neighbour_probes = 3;
     static constexpr std::size_t neighbours_to_compare = 2;
     // How old the last answer of a target may be that shows that the link still carries traffic.
-    // Shorter than the memory of failures, so that the loss of all connections is soon found.
+    // A host with few answers a second may have none between the first failure and its test. The
+    // loss of all connections, to targets and hosts, is found so much later; no other host could be
+    // asked meanwhile.
     static constexpr std::chrono::milliseconds answer_memory{1000};
     // Smallest time between two tests of a suspicion, and between two looks whether a host that is
     // cut off reaches targets again. The first test after such a look doesn't wait.
@@ -113,7 +115,7 @@
     time_point changed_at() const { return this->last_change_at; }
 
 private:
-    // Returns whether a target has answered since new connections began to fail.
+    // Returns whether a target has answered lately.
     bool has_fresh_answer(time_point now) const;
 
     // The most targets whose last answer is remembered; probes need few.
