--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -76,6 +76,12 @@
     duration key_validity{};
 };
 
+// The times of a stop; see stop_plan.
+struct stop_times {
+    time_point accept_long_until;
+    time_point answer_by;
+};
+
 // A request of a caller that is being served.
 struct served_request {
     caller_request message;
@@ -102,6 +108,12 @@
     // that other hosts forward to this one. `use_host` connects the link to a host.
     void enable_forwarding(std::shared_ptr<shell::peer_link> link,
                            request_forwarder::use_handler use_host);
+    // Sets what returns where another entry host listens for the hosts of the fleet; nullopt if
+    // that is unknown.
+    void set_host_resolver(std::function<std::optional<endpoint>(const std::string& host)> resolver)
+    {
+        this->host_resolver = std::move(resolver);
+    }
     // Returns the number of requests in flight that other hosts forwarded to this one.
     std::size_t forwarded_in_flight() const
     {
@@ -146,9 +158,10 @@
     void sweep(time_point now) { this->connections.sweep(now); }
 
     // Begins the stop of this host: requests that come from now on are answered by `answer_by`, or
-    // refused at once if they would take longer. The process must not exit before.
-    void begin_stop(time_point answer_by) { this->answer_by = answer_by; }
-    bool is_stopping() const { return this->answer_by.has_value(); }
+    // refused at once if they would take longer, or might after `accept_long_until`. The process
+    // must not exit before.
+    void begin_stop(const stop_times& times) { this->stop = times; }
+    bool is_stopping() const { return this->stop.has_value(); }
     // Ends the requests of callers that are in flight as if their deadlines had passed.
     void end_requests();
 
@@ -260,12 +273,26 @@
     void record_contact(time_point now, const dispatch::target& target, const send_result& result);
     // Starts to test a suspicion that this host is cut off, if there is one to be tested.
     void start_watching_contact(time_point now);
-    duration connect_timeout(const dispatch::target& target) const;
+    // Returns how long a connection to a process in the failure domain may take.
+    duration connect_timeout(const std::string& domain) const;
     // Probes targets until a suspicion is settled and, if this host is cut off, until it reaches a
     // target again.
     boost::asio::awaitable<void> watch_contact();
-    // Probes several targets at the same time. Returns how many were reached.
-    boost::asio::awaitable<std::size_t> probe_all(std::vector<dispatch::target_ptr> targets);
+    // The results of the probes that test a suspicion.
+    struct contact_results {
+        dispatch::probe_results targets;
+        dispatch::probe_results neighbours;
+    };
+    struct probed_host {
+        endpoint address;
+        duration timeout{};
+    };
+    // Probes targets and other entry hosts, all at the same time. Doesn't wait for the hosts once
+    // the targets alone tell enough.
+    boost::asio::awaitable<contact_results> probe_all(std::vector<dispatch::target_ptr> targets,
+                                                      std::vector<probed_host> hosts);
+    // Selects the other entry hosts to probe beside the targets.
+    std::vector<probed_host> choose_probed_hosts();
     void apply_contact_change(time_point now);
     // Waits until a suspicion that this host is cut off is settled, for a moment at most.
     boost::asio::awaitable<void> await_contact_test();
@@ -371,7 +398,7 @@
     std::optional<time_point> last_contact;
     std::function<void()> usage_handler;
     // When the last responses are due; set once this host stops.
-    std::optional<time_point> answer_by;
+    std::optional<stop_times> stop;
     // The loads observed here, and the place up to which they were reported.
     dispatch::load_board loads;
     std::uint64_t reported_loads{};
@@ -399,6 +426,7 @@
     // The hosts that a control host named to send requests of this one while it is cut off.
     std::vector<fleet::relay_host> relay_hosts;
     std::shared_ptr<request_forwarder> forwarder;
+    std::function<std::optional<endpoint>(const std::string& host)> host_resolver;
     std::size_t in_flight{};
     // The requests of callers that are being sent or wait to be sent.
     std::set<std::shared_ptr<send_control>> caller_requests;
--- a/process_tests/platform_stop_relay_test.py
+++ b/process_tests/platform_stop_relay_test.py
@@ -11,6 +11,8 @@
 GRACE_S = 6
 LOOK_UP_TTL_S = 1.2
 TAKES_CALLERS_S = 3 * LOOK_UP_TTL_S
+# Until then a stopping host takes requests that may outlast its stop.
+TAKES_LONG_S = GRACE_S / 2
 # Shorter than the silence after which the other host gives up the requests that it forwarded.
 FREEZE_S = 0.33
 # Longer than that silence.
@@ -114,6 +116,24 @@
         self.receive_all(connections)
         self.assertEqual([each.status for each in requests], [200] * len(requests))
 
+    def test_late_answer_that_another_host_awaits_is_not_replaced(self):
+        self.relay_requests_of_n1()
+        for each in self.targets:
+            each.__class__ = Target
+            each.seconds, each.ends_at_deadline, each.late_s = 3, True, 0.13
+        connections = [KeptConnection(self.listen("entry-n1", "callers")) for _ in range(3)]
+        stopped = self.stop("n1")
+        time.sleep(max(0, stopped + TAKES_LONG_S - 0.3 - time.monotonic()))
+        late = [each.send(self.next_number(), path="/pay/a", deadline_ms=7900) for each in connections]
+        self.receive_all(connections)
+        arrivals = self.arrivals()
+        at_targets = [arrivals[each.number] for each in late if each.number in arrivals]
+        self.assertGreater(len(at_targets), 0)
+        self.until(lambda: all(each.overran for each in at_targets), "the targets have woken")
+        judged = [each for each in late if each.number in arrivals and arrivals[each.number].overran < 0.16]
+        self.assertGreater(len(judged), 0)
+        self.assertEqual([each for each in judged if not each.is_of_target], [])
+
     def test_target_whose_connection_took_long_is_told_what_is_left(self):
         wanted = configuration(2, ROUTES, ["orders"])
         for route in wanted["routes"].values():
@@ -124,8 +144,8 @@
         self.delay_connections("n1", 150)
         stopped = self.stop("n1")
         for each in self.targets:
-            each.seconds, each.ends_at_deadline = 2.5, True
-        time.sleep(max(0, stopped + TAKES_CALLERS_S - 0.5 - time.monotonic()))
+            each.seconds, each.ends_at_deadline = 3, True
+        time.sleep(max(0, stopped + TAKES_LONG_S - 0.3 - time.monotonic()))
         late = [each.send(self.next_number(), path="/pay/a", deadline_ms=7900) for each in connections]
         self.receive_all(connections)
         arrivals = self.arrivals()
