--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -397,7 +397,7 @@
     // When a control host in contact with the others was heard last.
     std::optional<time_point> last_contact;
     std::function<void()> usage_handler;
-    // When the last responses are due; set once this host stops.
+    // Set once this host stops.
     std::optional<stop_times> stop;
     // The loads observed here, and the place up to which they were reported.
     dispatch::load_board loads;
