Review: payments are given up in a rolling stop, by a host that sends for another one

An entry host hands a long payment to a cold target to one of its senders. Both are stopped in turn. The sender exits 5.7 s after its SIGTERM with the payment in flight; the host that took it answers 502 although the target would have been done before the last sixth of that host's grace time (LOST).

At fault: forward_to_sender() in bth/gateway/gateway_sends.cpp and the stop of a host that sends for others (bth/gateway/stop_plan.h, platform/entry_main.cpp).

--- a/review/fleet.py
+++ b/review/fleet.py
@@ -157,7 +157,7 @@
         self.behave, self.reads_body, self.before_body = behave, reads_body, before_body
         self.endpoint = fleet.endpoint(100 + len(fleet.closing))
         self.arrivals, self.lock = [], threading.Lock()
-        self.state, self.born = "ready", int(time.time() * 1000)
+        self.state, self.born, self.cold_until = "ready", int(time.time() * 1000), 0.0
         host, port = self.endpoint.rsplit(":", 1)
         self.server = socket.create_server((host, int(port)), backlog=512)
         self.record = fleet.record
@@ -166,7 +166,8 @@
 
     def entry(self):
         return {"service": self.service, "address": self.endpoint, "zone": self.zone, "version": "v1",
-                "slots": self.slots, "state": self.state, "coldRemainingS": 0, "born": self.born}
+                "slots": self.slots, "state": self.state, "born": self.born,
+                "coldRemainingS": round(max(0.0, self.cold_until - time.monotonic()), 3)}
 
     def accept(self):
         while True:
@@ -248,10 +249,13 @@
 
 
 class Fleet:
-    """Three control hosts, three entry hosts and the list, in three zones of two regions."""
+    """Three control hosts, entry hosts and the list, in three zones of two regions. `entry_hosts` maps the name of each entry
+    host to its zone; without it there is one in each zone, with the zone's name.
+    """
 
-    def __init__(self, record):
+    def __init__(self, record, entry_hosts=None):
         self.record = record
+        self.entry_hosts = entry_hosts or {zone: zone for zone in ZONES}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bth-review-"))
         number = os.getpid() % 16000
         self.network = f"127.{170 + number // 256 % 64}.{number % 256}"
@@ -320,12 +324,15 @@
             first_start, str(data))
         self.controls[zone] = self.launch(CONTROL, file, f"core-{zone}")
 
-    def start_entry(self, zone):
-        address = self.address(30 + list(ZONES).index(zone))
+    def entry_address(self, host):
+        return self.address(30 + list(self.entry_hosts).index(host))
+
+    def start_entry(self, host):
+        address = self.entry_address(host)
         file = self.write_settings(
-            f"frontend-{zone}", zone, address,
+            f"frontend-{host}", self.entry_hosts[host], address,
             {"callers": f"{address}:{self.callers_port}", "readiness": f"{address}:{self.readiness_port}"})
-        self.entries[zone] = self.launch(ENTRY, file, f"frontend-{zone}")
+        self.entries[host] = self.launch(ENTRY, file, f"frontend-{host}")
 
     def launch(self, program, settings_file, name):
         process = Process([program], settings_file, self.folder / f"{name}-{len(self.processes)}.log")
@@ -341,15 +348,15 @@
         self.listing = TargetList(self.endpoint(200), targets)
         for zone in ZONES:
             self.start_control(zone, first_start=True)
-        for zone in ZONES:
-            self.start_entry(zone)
+        for host in self.entry_hosts:
+            self.start_entry(host)
         self.put(wanted)
-        for zone in ZONES:
-            until(lambda: self.is_ready(zone), f"the entry host of {zone} is ready")
+        for host in self.entry_hosts:
+            until(lambda: self.is_ready(host), f"the entry host {host} is ready")
         for path in sorted({each["pathPrefix"] for each in wanted["routes"].values()}):
-            for zone in ZONES:
-                until(lambda: self.call(zone, "GET", path + "probe", timeout=3)[0] == 200,
-                      f"{zone} serves {path}")
+            for host in self.entry_hosts:
+                until(lambda: self.call(host, "GET", path + "probe", timeout=3)[0] == 200,
+                      f"{host} serves {path}")
 
     def operate(self, method, path, body=None, seconds=20):
         """A call of the operator: to each control host until one answers clearly. Returns status and body."""
@@ -376,22 +383,22 @@
             raise CannotRun(f"the configuration was answered {status}")
         self.record(f"operator: configuration {wanted['version']} acknowledged")
 
-    def is_ready(self, zone):
-        address = self.address(30 + list(ZONES).index(zone))
+    def is_ready(self, host):
+        address = self.entry_address(host)
         try:
             return http_call(f"{address}:{self.readiness_port}", "GET", "/-/readiness", {}, None, 1)[0] == 200
         except OSError:
             return False
 
-    def callers(self, zone):
-        """The address and port at which the entry host of the zone takes callers."""
-        return self.address(30 + list(ZONES).index(zone)), self.callers_port
+    def callers(self, entry_host):
+        """The address and port at which the entry host takes callers."""
+        return self.entry_address(entry_host), self.callers_port
 
-    def call(self, zone, method, path, body=None, number=None, deadline_ms=5000, object_key="7", timeout=10):
+    def call(self, entry_host, method, path, body=None, number=None, deadline_ms=5000, object_key="7", timeout=10):
         """One request on a connection of its own: status, fields (lower case) and body. Raises OSError if the connection
         ends without an answer, status 0 stands for an answer that ends early.
         """
-        host, port = self.callers(zone)
+        host, port = self.callers(entry_host)
         fields = {"Host": HOST, REQUEST_ID: number or self.next_number(), AFFINITY: object_key,
                   DEADLINE: str(deadline_ms)}
         try:
@@ -399,13 +406,13 @@
         except http.client.HTTPException:
             return 0, {}, b""
 
-    def connect(self, zone, receive_buffer=None):
-        """A connection of a caller to the entry host of the zone."""
+    def connect(self, entry_host, receive_buffer=None):
+        """A connection of a caller to the entry host."""
         connection = socket.socket()
         if receive_buffer is not None:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         connection.settimeout(5)
-        connection.connect(self.callers(zone))
+        connection.connect(self.callers(entry_host))
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
 
@@ -429,7 +436,7 @@
         connection.close()
 
 
-def main(case):
+def main(case, entry_hosts=None):
     """Runs `case(fleet, record, trouble)`, which returns what broke the rule, or nothing if it held. Exits with 1, 0, or 2 if
     the case couldn't run.
     """
@@ -438,7 +445,7 @@
     record = Record(folder / "record.txt")
     record(f"TROUBLE={int(trouble)}")
     try:
-        with Fleet(record) as fleet:
+        with Fleet(record, entry_hosts) as fleet:
             broken = case(fleet, record, trouble)
     except (CannotRun, OSError) as error:
         record(f"can't run: {error}")
