--- a/review/fleet.py
+++ b/review/fleet.py
@@ -438,8 +438,9 @@
 
 def main(case, entry_hosts=None):
     """Runs `case(fleet, record, trouble)`, which returns what broke the rule, or nothing if it held. Exits with 1, 0, or 2 if
-    the case couldn't run.
+    the case couldn't run, and ends all processes in either case, also on SIGTERM.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
@@ -447,10 +448,12 @@
     try:
         with Fleet(record, entry_hosts) as fleet:
             broken = case(fleet, record, trouble)
-    except (CannotRun, OSError) as error:
-        record(f"can't run: {error}")
-        print(f"can't run: {error}")
+    except Exception as error:  # An error of the script says nothing of the rule.
+        text = f"can't run: {type(error).__name__}: {error}"
+        record(text)
+        print(text)
         sys.exit(2)
-    record(f"the rule was broken: {broken}" if broken else "the rule held")
-    print(f"the rule was broken: {broken}" if broken else "the rule held")
+    text = f"the rule was broken: {broken}" if broken else "the rule held"
+    record(text)
+    print(text)
     sys.exit(1 if broken else 0)
