--- a/review/fleet.py
+++ b/review/fleet.py
@@ -75,11 +75,11 @@
     raise CannotRun(f"gave up waiting: {what}")
 
 
-def route(prefix, service, kind="idempotent", timeout_s=2.0, target_s=0.5, attempts=2, priority=1):
-    """One route of a configuration."""
+def route(prefix, service, kind="idempotent", timeout_s=2.0, target_s=0.5, attempts=2, priority=1, regions=()):
+    """One route of a configuration; without regions it is allowed in all."""
     return {"host": HOST, "pathPrefix": prefix, "kind": kind, "timeoutS": timeout_s, "targetLatencyS": target_s,
             "priority": priority, "service": service, "maxAttempts": attempts, "stickySessions": True,
-            "allowedRegions": []}
+            "allowedRegions": list(regions)}
 
 
 def configuration(version, routes, max_body_bytes=67108864):
