Log whether an attempt used a connection that was kept

A payment was refused although its target ran it, where another host sent it twice to the same target. The line "sent" of both attempts has connect_ms=0.0, which a new connection on the same machine has as well, so that the log can't tell whether the second attempt shared the connection of the first.

--- a/bth/gateway/gateway_sends.cpp
+++ b/bth/gateway/gateway_sends.cpp
@@ -392,6 +392,7 @@
                 .with("forwarded", outgoing.forwarded)
                 .with("connect_ms", result.connect_time.value_or(duration{}))
                 .with("connect_limit_ms", connect_limit)
+                .with("connection_reused", result.connection_reused)
                 .with("outcome", outcome_name(result.outcome))
                 .with("target_refuses", result.target_refuses)
                 .with("took_ms", now - started));
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -315,6 +315,11 @@
                                             target_request request)
 {
     std::optional<duration> connect_time;
+    const auto with_connection = [&connect_time](send_result result) {
+        result.connect_time = connect_time;
+        result.connection_reused = !connect_time;
+        return result;
+    };
     std::unique_ptr<target_connection> connection;
     // Without an id, only a connection of its own tells which response belongs to the request.
     if (!request.request_id.empty()) {
@@ -344,8 +349,7 @@
         }
         send_result result;
         result.outcome = send_outcome::withheld;
-        result.connect_time = connect_time;
-        co_return result;
+        co_return with_connection(std::move(result));
     }
     set_close_handler(*control, *connection);
     if (request.deadline) {
@@ -359,8 +363,7 @@
         control->close = nullptr;
         auto result = unanswered_result(*control, true);
         result.is_connection_lost = true;
-        result.connect_time = connect_time;
-        co_return result;
+        co_return with_connection(std::move(result));
     }
     bool reusable = !request.request_id.empty();
     partial_response partial;
@@ -372,16 +375,13 @@
         result.signals = partial.signals;
         result.is_too_long = partial.is_too_long;
         result.is_connection_lost = partial.is_connection_lost;
-        result.connect_time = connect_time;
-        co_return result;
+        co_return with_connection(std::move(result));
     }
     if (reusable) {
         connection->idle_timeout = parse_idle_timeout(*response);
         pool.release(request.target_id, std::move(connection), shell::monotonic_now());
     }
-    auto result = evaluate_response(std::move(*response), request);
-    result.connect_time = connect_time;
-    co_return result;
+    co_return with_connection(evaluate_response(std::move(*response), request));
 }
 
 asio::awaitable<target_reachability> probe_target(target_connection_pool& pool,
--- a/bth/gateway/target_send.h
+++ b/bth/gateway/target_send.h
@@ -75,6 +75,8 @@
     std::optional<duration> connect_time;
     // Whether the connection was not opened in time.
     bool connect_timed_out{};
+    // Whether the connection had carried requests before.
+    bool connection_reused{};
     // What the target said about itself, also where its response wasn't received completely.
     target_signals signals{};
     // Whether the response was given up because it is too long, or all that are being read are.
