Never send a request twice on one connection to a target

Cause: the host handed the payment over twice to the same other host, which sent it twice to the same target on the same kept connection. The target wrote its refusal of the first attempt once more while it ran the second one. A response names its request, not the attempt, so that the copy counted for the second attempt. Evidence: both lines "sent" have connection_reused=true, and the second attempt ends as shed 30.2 ms after it was sent, when the copy is written.

A connection now remembers the requests that it carried and that may be sent again, and is not used for them: a copy then arrives on a connection that nobody reads for that request. That holds for all paths, whoever decided on the attempts.

--- a/bth/gateway/faulty_target_test.cpp
+++ b/bth/gateway/faulty_target_test.cpp
@@ -86,12 +86,65 @@
     std::size_t connections{};
 };
 
+// Answers the requests of all connections like scripted_target. Before each answer but the first
+// one, it writes the answer before that once more, on the connection where it wrote that.
+struct repeating_target {
+    repeating_target(asio::io_context& context, std::vector<std::string> given_answers)
+        : acceptor{context, tcp::endpoint{asio::ip::address_v4::loopback(), 0}},
+          answers{std::move(given_answers)}
+    {}
+
+    tcp::acceptor acceptor;
+    std::vector<std::string> answers;
+    std::size_t next{};
+    // The connection of the last answer.
+    std::shared_ptr<tcp::socket> last;
+    std::size_t connections{};
+};
+
+asio::awaitable<void> answer_and_repeat(std::shared_ptr<repeating_target> target,
+                                        std::shared_ptr<tcp::socket> socket)
+{
+    std::array<char, 4096> request{};
+    boost::system::error_code error;
+    while (true) {
+        co_await socket->async_read_some(asio::buffer(request),
+                                         asio::redirect_error(asio::use_awaitable, error));
+        if (error || target->next == target->answers.size()) {
+            co_return;
+        }
+        if (target->last) {
+            co_await asio::async_write(*target->last,
+                                       asio::buffer(target->answers.at(target->next - 1)),
+                                       asio::redirect_error(asio::use_awaitable, error));
+        }
+        target->last = socket;
+        co_await asio::async_write(*socket, asio::buffer(target->answers.at(target->next++)),
+                                   asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+asio::awaitable<void> accept_all(std::shared_ptr<repeating_target> target)
+{
+    while (true) {
+        boost::system::error_code error;
+        auto socket = co_await target->acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return;
+        }
+        ++target->connections;
+        asio::co_spawn(target->acceptor.get_executor(),
+                       answer_and_repeat(target, std::make_shared<tcp::socket>(std::move(socket))),
+                       asio::detached);
+    }
+}
+
 // Sends a request for each of `ids`, one after the other, each with a deadline of 5 s.
-attempts send_in_turn(const std::vector<std::string>& ids, std::vector<std::string> answers,
-                      connection_end end = connection_end::close)
+template <typename Target>
+attempts send_in_turn(asio::io_context& context, const std::vector<std::string>& ids,
+                      const std::shared_ptr<Target>& target)
 {
-    asio::io_context context;
-    const auto target = std::make_shared<scripted_target>(context, std::move(answers), end);
     asio::co_spawn(context, accept_all(target), asio::detached);
     target_connection_pool pool;
     field_names names;
@@ -125,6 +178,7 @@
                 deadline.cancel();
             }
             target->acceptor.close();
+            pool.clear();
         },
         asio::detached);
     context.run();
@@ -132,12 +186,26 @@
     return out;
 }
 
+attempts send_in_turn(const std::vector<std::string>& ids, std::vector<std::string> answers,
+                      connection_end end = connection_end::close)
+{
+    asio::io_context context;
+    return send_in_turn(context, ids,
+                        std::make_shared<scripted_target>(context, std::move(answers), end));
+}
+
 std::string answer_to(const std::string& id, const std::string& body)
 {
     return "HTTP/1.1 200 OK\r\nX-Id: " + id +
            "\r\nX-Receipt: r\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string refusal_of(const std::string& id)
+{
+    return "HTTP/1.1 503 Service Unavailable\r\nX-Id: " + id +
+           "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
 const std::string refusal_without_id =
     "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -161,6 +229,52 @@
     }
 }
 
+// A payment that another host handed over twice was refused as not run though it ran: the copy of
+// its first refusal has its id, so that it counted for the second attempt.
+TEST(faulty_target, refusal_written_once_more_is_not_taken_for_that_of_a_later_attempt)
+{
+    asio::io_context context;
+    const auto target = std::make_shared<repeating_target>(
+        context, std::vector{refusal_of("1"), answer_to("1", "one")});
+    const auto seen = send_in_turn(context, {"1", "1"}, target);
+    LONGS_EQUAL(2, seen.results.size());
+    CHECK_TRUE(seen.results.front().outcome == send_outcome::shed);
+    const auto& second = seen.results.back();
+    CHECK_TRUE(second.outcome == send_outcome::answered);
+    CHECK_TRUE(second.may_have_run);
+    STRCMP_EQUAL("one", second.response->body.c_str());
+    LONGS_EQUAL(2, seen.connections);
+}
+
+// The same for a failure, after which a request may be sent again as well.
+TEST(faulty_target, failure_written_once_more_is_not_taken_for_that_of_a_later_attempt)
+{
+    const std::string failure =
+        "HTTP/1.1 500 Failed\r\nX-Id: 1\r\nX-Receipt: r\r\nContent-Length: 0\r\n\r\n";
+    asio::io_context context;
+    const auto target = std::make_shared<repeating_target>(
+        context, std::vector{failure, answer_to("1", "one")});
+    const auto seen = send_in_turn(context, {"1", "1"}, target);
+    CHECK_TRUE(seen.results.front().outcome == send_outcome::failed);
+    CHECK_TRUE(seen.results.back().outcome == send_outcome::answered);
+}
+
+// Other requests go on using a connection behind a refusal: new connections are expensive.
+TEST(faulty_target, connection_that_carried_refusals_is_kept_for_other_requests)
+{
+    std::vector<std::string> ids;
+    std::vector<std::string> answers;
+    for (std::size_t i = 0; i <= target_connection::max_unfinished_requests; ++i) {
+        ids.push_back(std::to_string(i));
+        answers.push_back(refusal_of(ids.back()));
+    }
+    const auto seen = send_in_turn(ids, answers);
+    LONGS_EQUAL(2, seen.connections);
+    for (const auto& each : seen.results) {
+        CHECK_TRUE(each.outcome == send_outcome::shed);
+    }
+}
+
 TEST(faulty_target, request_behind_a_refusal_written_once_more_may_have_run)
 {
     const auto seen = send_in_turn({"1", "2"}, {answer_to("1", "one"), refusal_without_id});
--- a/bth/gateway/target_pool.cpp
+++ b/bth/gateway/target_pool.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <sys/socket.h>
+#include <xxhash.h>
 
 namespace bth::gateway {
 
@@ -22,8 +23,24 @@
     return now - connection.idle_since < limit * usable_idle_fraction;
 }
 
+std::uint64_t hash_of(std::string_view request_id)
+{
+    return XXH3_64bits(request_id.data(), request_id.size());
+}
+
 } // namespace
 
+void target_connection::add_unfinished(std::string_view request_id)
+{
+    this->unfinished.push_back(hash_of(request_id));
+}
+
+bool target_connection::has_unfinished(std::string_view request_id) const
+{
+    return std::find(this->unfinished.begin(), this->unfinished.end(), hash_of(request_id)) !=
+           this->unfinished.end();
+}
+
 bool is_open_and_silent(target_connection& connection)
 {
     char byte{};
@@ -33,15 +50,20 @@
 }
 
 std::unique_ptr<target_connection>
-target_connection_pool::acquire(const std::string& target, time_point now, duration max_idle_time)
+target_connection_pool::acquire(const std::string& target, std::string_view request_id,
+                                time_point now, duration max_idle_time)
 {
-    const auto connections = this->idle.find(target);
-    if (connections == this->idle.end()) {
+    const auto found = this->idle.find(target);
+    if (found == this->idle.end()) {
         return nullptr;
     }
-    while (!connections->second.empty()) {
-        auto last = std::move(connections->second.back());
-        connections->second.pop_back();
+    auto& connections = found->second;
+    for (auto at = connections.size(); at-- > 0;) {
+        if (connections[at]->has_unfinished(request_id)) {
+            continue;
+        }
+        auto last = std::move(connections[at]);
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(at));
         if (is_safe_to_reuse(*last, now) && now - last->idle_since < max_idle_time &&
             is_open_and_silent(*last)) {
             return last;
@@ -53,6 +75,9 @@
 void target_connection_pool::release(const std::string& target,
                                      std::unique_ptr<target_connection> connection, time_point now)
 {
+    if (connection->is_worn_out()) {
+        return;
+    }
     connection->idle_since = now;
     auto& connections = this->idle[target];
     connections.push_back(std::move(connection));
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -323,7 +323,8 @@
     std::unique_ptr<target_connection> connection;
     // Without an id, only a connection of its own tells which response belongs to the request.
     if (!request.request_id.empty()) {
-        connection = pool.acquire(request.target_id, shell::monotonic_now(), request.max_idle_time);
+        connection = pool.acquire(request.target_id, request.request_id, shell::monotonic_now(),
+                                  request.max_idle_time);
     }
     if (!connection) {
         connection = std::make_unique<target_connection>(co_await asio::this_coro::executor);
@@ -377,11 +378,16 @@
         result.is_connection_lost = partial.is_connection_lost;
         co_return with_connection(std::move(result));
     }
+    const auto idle_timeout = parse_idle_timeout(*response);
+    auto result = with_connection(evaluate_response(std::move(*response), request));
     if (reusable) {
-        connection->idle_timeout = parse_idle_timeout(*response);
+        if (result.outcome != send_outcome::answered) {
+            connection->add_unfinished(request.request_id);
+        }
+        connection->idle_timeout = idle_timeout;
         pool.release(request.target_id, std::move(connection), shell::monotonic_now());
     }
-    co_return with_connection(evaluate_response(std::move(*response), request));
+    co_return result;
 }
 
 asio::awaitable<target_reachability> probe_target(target_connection_pool& pool,
