Bound the memory of frames and forwarded requests

200 connections to the port for other hosts, each with all but the end of a frame of 4 MiB and no hello, took an entry host to 173 MB of 160 and a control host to 261 MB of 256 (the test ends the flood there); 1,024 such connections are accepted.

Cause: the limit of a frame, 4 MiB, held before a peer has said who it is, for each connection by itself, and a reader kept the memory of its longest frame. Requests that other hosts forward had no limit but that of their connection.

A frame before the hello has at most 4 KiB now. The frames that are being received share a budget, as do the forwarded requests, which are declined as full beyond it; small ones never are. A reader releases the memory of a long frame.

--- a/bth/gateway/request_forwarder.cpp
+++ b/bth/gateway/request_forwarder.cpp
@@ -37,6 +37,9 @@
 // gone for about as long.
 constexpr std::chrono::milliseconds unreachable_time{2000};
 
+// Bounds the memory of small requests. Several times what a host has in flight for its own callers.
+constexpr std::size_t max_served_requests = 4096;
+
 std::string_view name_of(forward_end why)
 {
     switch (why) {
@@ -256,9 +259,23 @@
 
 void request_forwarder::accept_request(const std::string& from, handoff_request request)
 {
+    const auto memory = std::make_shared<shell::receive_budget::share>(this->serving_memory);
+    const bool has_room = memory->grow_to(request.request_bytes.size());
+    if (!has_room || this->serving.size() >= max_served_requests) {
+        this->events->write(shell::event{"forwarded_declined"}
+                                .with("request", request.request_id)
+                                .with("host", from)
+                                .with("served", this->serving.size())
+                                .with("held_bytes", this->serving_memory.bytes()));
+        handoff_outcome declined;
+        declined.id = request.id;
+        declined.declined = decline_reason::full;
+        this->send(from, handoff_message{std::move(declined)});
+        return;
+    }
     const auto shared_request = std::make_shared<const handoff_request>(std::move(request));
     const auto control = std::make_shared<send_control>();
-    this->serving[{from, shared_request->id}] = {control, shared_request->request_id,
+    this->serving[{from, shared_request->id}] = {control, memory, shared_request->request_id,
                                                  shell::monotonic_now()};
     asio::co_spawn(
         *this->context,
--- a/bth/gateway/request_forwarder.h
+++ b/bth/gateway/request_forwarder.h
@@ -18,6 +18,7 @@
 #include "bth/gateway/metrics.h"
 #include "bth/shell/event_log.h"
 #include "bth/shell/peer_link.h"
+#include "bth/shell/receive_budget.h"
 
 #include <functional>
 #include <map>
@@ -104,6 +105,7 @@
     // A request that another host forwarded to this one.
     struct served_forward {
         std::shared_ptr<send_control> control;
+        std::shared_ptr<shell::receive_budget::share> memory;
         std::string request_id;
         time_point accepted_at;
     };
@@ -142,6 +144,7 @@
     boost::asio::steady_timer timer;
     std::uint64_t next_id{1};
     std::map<std::uint64_t, std::shared_ptr<pending_forward>> pending;
+    shell::receive_budget serving_memory;
     // Forwarded requests in flight here, by forwarding host and its id for the request.
     std::map<std::pair<std::string, std::uint64_t>, served_forward> serving;
     std::map<std::string, peer_state> peers;
--- a/bth/gateway/request_forwarder_test.cpp
+++ b/bth/gateway/request_forwarder_test.cpp
@@ -98,15 +98,17 @@
 };
 
 std::shared_ptr<forward_result> start_forward(asio::io_context& context, forwarding_host& from,
-                                              const std::string& to, bool at_most_once = false)
+                                              const std::string& to, bool at_most_once = false,
+                                              std::size_t bytes = 0)
 {
     auto result = std::make_shared<forward_result>();
     asio::co_spawn(
         context,
-        [forwarder = from.forwarder, to, result, at_most_once]() -> asio::awaitable<void> {
+        [forwarder = from.forwarder, to, result, at_most_once, bytes]() -> asio::awaitable<void> {
             handoff_request request;
             request.target = "t1";
             request.at_most_once = at_most_once;
+            request.request_bytes.assign(bytes, 'x');
             auto control = std::make_shared<send_control>();
             auto reply = co_await forwarder->forward(to, std::move(request), std::move(control));
             result->outcome = std::move(reply.outcome);
@@ -191,6 +193,35 @@
     CHECK_TRUE(caller.forwarder->is_usable("c"));
 }
 
+// A host that goes on forwarding requests must not take all memory of the host that serves them.
+TEST(request_forwarder, requests_that_take_too_much_memory_together_are_declined)
+{
+    asio::io_context context;
+    forwarding_host caller{context, events(), "a"};
+    forwarding_host owner{context, events(), "b"};
+    const auto where = free_endpoint(context);
+    CHECK_TRUE(owner.link->listen(where).has_value());
+    caller.other = {"b", where, true};
+    owner.reply_delay = 2s;
+    constexpr std::size_t request_bytes = 1536UL * 1024;
+    constexpr std::size_t accepted = bth::shell::receive_limits{}.shared / request_bytes;
+    for (std::size_t i = 0; i < accepted; ++i) {
+        const auto result = start_forward(context, caller, "b", false, request_bytes);
+        CHECK_TRUE(run_until(context, [&] {
+            return result->ended || owner.forwarder->forwarded_in_flight() == i + 1;
+        }));
+        CHECK_FALSE(result->ended);
+    }
+    const auto large = start_forward(context, caller, "b", false, request_bytes);
+    CHECK_TRUE(run_until(context, [&] { return large->ended; }));
+    CHECK_TRUE(large->outcome.has_value());
+    CHECK_TRUE(large->outcome->declined == decline_reason::full);
+    CHECK_FALSE(large->outcome->result.may_have_run);
+    const auto small = start_forward(context, caller, "b");
+    CHECK_TRUE(run_until(context, [&] { return small->ended; }));
+    CHECK_TRUE(small->outcome->declined == decline_reason::none);
+}
+
 TEST(request_forwarder, second_connection_between_two_hosts_ends_no_request)
 {
     asio::io_context context;
--- a/bth/shell/internal/peer_connection.cpp
+++ b/bth/shell/internal/peer_connection.cpp
@@ -46,8 +46,10 @@
 } // namespace
 
 peer_connection::peer_connection(asio::ip::tcp::socket socket, bool dialled,
-                                 std::size_t queue_limit, hooks on)
+                                 std::size_t queue_limit,
+                                 std::shared_ptr<receive_budget> frame_memory, hooks on)
     : socket{std::move(socket)}, hello_timer{this->socket.get_executor()},
+      frame_memory{std::move(frame_memory)}, memory{*this->frame_memory},
       queue_limit{queue_limit}, on{std::move(on)}, dialled{dialled}
 {
     set_options(this->socket);
@@ -122,6 +124,9 @@
                 this->close("refused frame: payload");
             }
         }
+        if (!this->memory.grow_to(this->reader.held_bytes()) && !this->is_closed) {
+            this->close("refused frame: the frames of all peers take too much memory");
+        }
     }
 }
 
@@ -134,6 +139,7 @@
         return false;
     }
     this->greeted = true;
+    this->reader.set_max_bytes(wire::max_frame_bytes);
     this->name = next.sender;
     this->life = next.life;
     this->hello_timer.cancel();
--- a/bth/shell/internal/peer_connection.h
+++ b/bth/shell/internal/peer_connection.h
@@ -1,6 +1,7 @@
 // One TCP connection to another process: reads verified frames, writes queued ones.
 #pragma once
 
+#include "bth/shell/receive_budget.h"
 #include "bth/wire/frame.h"
 
 #include <chrono>
@@ -27,8 +28,9 @@
             closed;
     };
 
+    // `frame_memory` is that of the frames which are being received from all peers.
     peer_connection(boost::asio::ip::tcp::socket socket, bool dialled, std::size_t queue_limit,
-                    hooks on);
+                    std::shared_ptr<receive_budget> frame_memory, hooks on);
 
     // Sends hello and reads until the connection ends.
     void start(const std::string& own_name, incarnation own_life);
@@ -49,7 +51,9 @@
 
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer hello_timer;
-    wire::frame_reader reader;
+    std::shared_ptr<receive_budget> frame_memory;
+    receive_budget::share memory;
+    wire::frame_reader reader{wire::max_hello_bytes};
     // Requests and answers wait behind everything else, so that a bulk answer holds up no lease.
     std::deque<wire::bytes> urgent;
     std::deque<wire::bytes> streams;
--- a/bth/shell/peer_link.cpp
+++ b/bth/shell/peer_link.cpp
@@ -111,6 +111,8 @@
     std::map<std::string, std::shared_ptr<peer_row>, std::less<>> rows;
     // Connections whose peer hasn't said its name yet.
     std::vector<std::shared_ptr<peer_connection>> nameless;
+    // Frames are at most 4 MiB long, so that the default limits hold several of the longest.
+    std::shared_ptr<receive_budget> frame_memory{std::make_shared<receive_budget>()};
     std::mt19937_64 random;
     log4cplus::Logger log{log4cplus::Logger::getInstance("shell.peer_link")};
     bool stopped{};
@@ -231,8 +233,9 @@
             link->closed(connection, reason);
         }
     };
-    auto connection = std::make_shared<peer_connection>(
-        std::move(socket), dialled, this->settings.queue_bytes, std::move(hooks));
+    auto connection =
+        std::make_shared<peer_connection>(std::move(socket), dialled, this->settings.queue_bytes,
+                                          this->frame_memory, std::move(hooks));
     this->nameless.push_back(connection);
     connection->start(this->settings.name, this->settings.life);
     return connection;
--- a/bth/wire/frame.cpp
+++ b/bth/wire/frame.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t least_envelope_bytes = 12;
 constexpr std::size_t payload_alignment = 8;
 constexpr std::size_t envelope_allowance = 256;
+// The memory that a reader keeps for the next frames.
+constexpr std::size_t kept_bytes = std::size_t{64} * 1024;
 
 bytes to_bytes(const flatbuffers::FlatBufferBuilder& builder)
 {
@@ -65,6 +67,11 @@
 tl::expected<std::optional<frame>, frame_error> frame_reader::next()
 {
     const byte_view rest = byte_view{this->pending}.subspan(this->consumed);
+    if (rest.empty() && this->held_bytes() > kept_bytes) {
+        this->pending = {};
+        this->aligned = {};
+        this->consumed = 0;
+    }
     if (rest.size() < prefix_bytes) {
         return std::nullopt;
     }
@@ -72,7 +79,7 @@
     if (length < least_envelope_bytes) {
         return tl::unexpected{frame_error::too_short};
     }
-    if (length > max_frame_bytes - prefix_bytes) {
+    if (length > this->max_bytes - prefix_bytes) {
         return tl::unexpected{frame_error::too_long};
     }
     const std::size_t whole = prefix_bytes + length;
--- a/bth/wire/frame.h
+++ b/bth/wire/frame.h
@@ -29,6 +29,8 @@
 
 // The longest frame, its length prefix included. A longer one closes its connection.
 inline constexpr std::size_t max_frame_bytes = std::size_t{4} * 1024 * 1024;
+// The longest frame of a peer that hasn't said who it is.
+inline constexpr std::size_t max_hello_bytes = std::size_t{4} * 1024;
 
 // What a frame carries.
 enum class frame_kind : std::uint8_t {
@@ -44,7 +46,7 @@
 // Why a frame was refused. Its connection is closed; no other is touched.
 enum class frame_error : std::uint8_t {
     too_short,     // The length is less than any envelope's.
-    too_long,      // The length exceeds max_frame_bytes.
+    too_long,      // The length exceeds what is taken of the peer.
     damaged,       // The envelope doesn't verify.
     wrong_version, // Another version of the protocol.
     unknown_kind,  // A kind that this version doesn't know.
@@ -72,6 +74,10 @@
 // Cuts a stream of bytes into verified frames.
 class frame_reader {
 public:
+    // A frame longer than `max_bytes` is an error.
+    explicit frame_reader(std::size_t max_bytes = max_frame_bytes) : max_bytes{max_bytes} {}
+    void set_max_bytes(std::size_t value) { this->max_bytes = value; }
+
     // Takes bytes as they came from the peer.
     void append(byte_view more);
 
@@ -79,7 +85,14 @@
     // of no use.
     tl::expected<std::optional<frame>, frame_error> next();
 
+    // Returns the memory of the frames that are being received.
+    std::size_t held_bytes() const
+    {
+        return this->pending.capacity() + this->aligned.capacity() * sizeof(std::uint64_t);
+    }
+
 private:
+    std::size_t max_bytes;
     bytes pending;
     std::size_t consumed{};
     // The present frame at an aligned address.
