Bound the memory of calls to a host's pages and of the list of targets

An endless chunk extension or trailer in a page of the platform's list took a control host above 256 MB (280 and 274 MB where the test ends the flood). 30 endless requests at once to the pages of a host did the same: 169 to 237 MB at an entry host of 160 MB, 257 to 394 MB at a control host.

Cause: the parser's limits are of the head and the body; the extensions of a chunk and a trailer are neither, and wait in a buffer that had no limit. A body had 64 MiB, each of many, also on pages whose requests have none, and a page of the list takes some forty times as much while it is decoded.

--- a/bth/shell/simple_http.cpp
+++ b/bth/shell/simple_http.cpp
@@ -23,7 +23,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr std::uint64_t body_limit = 64ULL * 1024 * 1024;
+// Bytes that were received and not yet parsed. The parser's limits don't bound the extensions of a
+// chunk, nor a trailer.
+constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
 constexpr std::chrono::seconds idle_limit{30};
 
 } // namespace
@@ -31,8 +33,10 @@
 // One connection; it lives as long as its coroutine runs.
 class http_server::session : public std::enable_shared_from_this<http_server::session> {
 public:
-    session(asio::ip::tcp::socket socket, http_handler handler)
-        : stream{std::move(socket)}, handler{std::move(handler)}
+    session(asio::ip::tcp::socket socket, http_handler handler, std::size_t max_body_bytes,
+            std::shared_ptr<receive_budget> request_memory)
+        : stream{std::move(socket)}, handler{std::move(handler)}, max_body_bytes{max_body_bytes},
+          request_memory{std::move(request_memory)}
     {}
 
     void start()
@@ -56,13 +60,18 @@
         bool keep_alive = true;
         while (keep_alive && !this->stopping) {
             http::request_parser<http::string_body> parser;
-            parser.body_limit(body_limit);
+            parser.body_limit(this->max_body_bytes);
+            parser.eager(true);
+            receive_budget::share memory{*this->request_memory};
             boost::system::error_code error;
             this->stream.expires_after(idle_limit);
-            co_await http::async_read(this->stream, this->buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, error));
-            if (error) {
-                co_return;
+            while (!parser.is_done()) {
+                co_await http::async_read_some(this->stream, this->buffer, parser,
+                                               asio::redirect_error(asio::use_awaitable, error));
+                const auto held = parser.get().body().size() + this->buffer.capacity();
+                if (error || !memory.grow_to(held)) {
+                    co_return;
+                }
             }
             this->busy = true;
             keep_alive = parser.get().keep_alive();
@@ -82,8 +91,10 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     http_handler handler;
+    std::size_t max_body_bytes;
+    std::shared_ptr<receive_budget> request_memory;
     // Between the end of a request and the end of its answer.
     bool busy{};
     bool stopping{};
@@ -98,8 +109,11 @@
     return response;
 }
 
-http_server::http_server(asio::ip::tcp::acceptor acceptor, http_handler handler)
-    : acceptor{std::move(acceptor)}, handler{std::move(handler)}
+http_server::http_server(asio::ip::tcp::acceptor acceptor, http_handler handler,
+                         std::size_t max_body_bytes)
+    : acceptor{std::move(acceptor)}, handler{std::move(handler)}, max_body_bytes{max_body_bytes},
+      request_memory{std::make_shared<receive_budget>(
+          receive_limits{max_body_bytes, max_body_bytes, receive_budget::small})}
 {}
 
 http_server::~http_server() = default;
@@ -131,7 +145,8 @@
         if (!error) {
             socket.set_option(asio::ip::tcp::no_delay{true}, error);
             std::erase_if(this->sessions, [](const auto& each) { return each.expired(); });
-            const auto made = std::make_shared<session>(std::move(socket), this->handler);
+            const auto made = std::make_shared<session>(std::move(socket), this->handler,
+                                                        this->max_body_bytes, this->request_memory);
             this->sessions.push_back(made);
             made->start();
         }
@@ -139,7 +154,7 @@
 }
 
 asio::awaitable<tl::expected<http_response, http_call_failure>>
-http_try(endpoint where, http_request request, duration limit)
+http_try(endpoint where, http_request request, duration limit, std::size_t max_body_bytes)
 {
     beast::tcp_stream stream{co_await asio::this_coro::executor};
     boost::system::error_code error;
@@ -162,9 +177,9 @@
     if (error) {
         co_return fail("send to", true);
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     http::response_parser<http::string_body> parser;
-    parser.body_limit(body_limit);
+    parser.body_limit(max_body_bytes);
     co_await http::async_read(stream, buffer, parser,
                               asio::redirect_error(asio::use_awaitable, error));
     if (error) {
@@ -174,9 +189,9 @@
 }
 
 asio::awaitable<tl::expected<http_response, std::string>>
-http_call(endpoint where, http_request request, duration limit)
+http_call(endpoint where, http_request request, duration limit, std::size_t max_body_bytes)
 {
-    auto answer = co_await http_try(where, std::move(request), limit);
+    auto answer = co_await http_try(where, std::move(request), limit, max_body_bytes);
     if (!answer) {
         co_return tl::unexpected{std::move(answer.error().message)};
     }
--- a/bth/shell/simple_http.h
+++ b/bth/shell/simple_http.h
@@ -8,7 +8,9 @@
 
 #include "bth/base/endpoint.h"
 #include "bth/base/time.h"
+#include "bth/shell/receive_budget.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -32,11 +34,19 @@
 http_response make_response(const http_request& request, boost::beast::http::status status,
                             const std::string& media_type, std::string body);
 
+// What a server or a call takes of one message.
+constexpr std::size_t default_max_body_bytes = 64UL * 1024 * 1024;
+// For pages whose requests have no body.
+constexpr std::size_t no_body_bytes = 16UL * 1024;
+
 // Accepts connections and passes whole requests to the handler. Requests that are malformed, too
 // large or too slow close their connection, and only that one.
 class http_server : public std::enable_shared_from_this<http_server> {
 public:
-    http_server(boost::asio::ip::tcp::acceptor acceptor, http_handler handler);
+    // `max_body_bytes` bounds the body of a request, and that of all requests that are being read
+    // at a time, beside small ones.
+    http_server(boost::asio::ip::tcp::acceptor acceptor, http_handler handler,
+                std::size_t max_body_bytes = default_max_body_bytes);
     ~http_server();
 
     void start();
@@ -51,6 +61,9 @@
 
     boost::asio::ip::tcp::acceptor acceptor;
     http_handler handler;
+    std::size_t max_body_bytes;
+    // Shared with the sessions, which may outlive the server.
+    std::shared_ptr<receive_budget> request_memory;
     std::vector<std::weak_ptr<session>> sessions;
 };
 
@@ -63,12 +76,14 @@
 };
 
 // Sends one request on a connection of its own and returns the whole answer. `limit` bounds the
-// whole call.
+// whole call, and `max_body_bytes` the answer: a longer one fails the call.
 boost::asio::awaitable<tl::expected<http_response, http_call_failure>>
-http_try(endpoint where, http_request request, duration limit);
+http_try(endpoint where, http_request request, duration limit,
+         std::size_t max_body_bytes = default_max_body_bytes);
 
 // The same, with only the sentence of a failure.
 boost::asio::awaitable<tl::expected<http_response, std::string>>
-http_call(endpoint where, http_request request, duration limit);
+http_call(endpoint where, http_request request, duration limit,
+          std::size_t max_body_bytes = default_max_body_bytes);
 
 } // namespace bth::shell
