Bound the read buffers of bth-entry

By reading: an endless chunk extension or trailer of a caller or a target waited in a buffer without a limit, as in the programs for the platform, where a test shows it. Bodies pass through this program in chunks, so that nothing else grows. Not shown by a run of this program.

--- a/bth/entry/caller_session.cpp
+++ b/bth/entry/caller_session.cpp
@@ -106,6 +106,9 @@
     this->parser.emplace();
     this->parser->header_limit(this->server->limits.header_bytes);
     this->parser->body_limit(this->server->limits.body_bytes);
+    // Also bounds the extensions of a chunk and a trailer, which the parser's limits don't.
+    this->buffer.max_size(std::max<std::size_t>(this->buffer.size(),
+                                                this->server->limits.header_bytes + chunk_bytes));
     this->idle = true;
     this->stream.expires_after(this->server->limits.idle);
     boost::system::error_code error;
--- a/bth/entry/target_pool.h
+++ b/bth/entry/target_pool.h
@@ -37,9 +37,12 @@
 
     void close();
 
+    // Bounds the extensions of a chunk and a trailer, which the parser's limits don't.
+    static constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
+
     boost::asio::ip::tcp::socket socket;
     // Bytes that were read and not parsed yet.
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_unparsed_bytes};
     std::shared_ptr<per_target_connections> connections;
     // When the connection was last released to the pool.
     time_point idle_since;
