Bound the memory of requests, and of many answers at once

One caller with an endless chunk extension or trailer took an entry host above 160 MB (187 and 180 MB where the test ends the flood), 60 at once up to 380 MB; 200 endless answers of targets at once 195 MB.

Cause: the limits of the parser don't cover chunk extensions and trailers, nothing bounded the requests of all callers together, and an answer below 1 MiB was never given up, however many there were.

One that finds no room is refused with 503 and Retry-After before it is read to its end, so that it hasn't run.

--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -2,8 +2,10 @@
 
 #include "bth/shell/net.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <string>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -24,6 +26,10 @@
 // Requests of one connection in flight at a time; the next one is read after a response is written.
 constexpr std::size_t max_pipelined_requests = 16;
 constexpr std::chrono::seconds timeout_check_interval{3};
+// Room for what is parsed at once beside a head of the allowed size, such as the end of a body.
+constexpr std::size_t buffer_slack = 1024;
+// After this time the memory of other requests may be free again.
+constexpr std::chrono::milliseconds memory_retry_time{500};
 // Limits in force until the first configuration arrives.
 constexpr std::uint32_t default_header_bytes = 16384;
 constexpr std::uint64_t default_body_bytes = 1024ULL * 1024;
@@ -33,6 +39,13 @@
 // all bytes.
 constexpr std::chrono::milliseconds lingering_close_timeout{1000};
 
+// Returns the memory that a string takes while bytes are appended to it. Of what was reserved
+// for a length that the sender stated, only the written part takes memory.
+std::size_t memory_of(const std::string& text)
+{
+    return std::min(text.capacity(), 2 * text.size());
+}
+
 std::string_view name_of(connection_end why)
 {
     switch (why) {
@@ -159,8 +172,15 @@
     http::request_parser<http::string_body> parser;
     const bool configured = this->request_gateway->is_configured();
     const auto& limits = this->request_gateway->caller_limits();
-    parser.header_limit(configured ? static_cast<std::uint32_t>(limits.header_bytes)
-                                   : default_header_bytes);
+    const auto header_bytes =
+        configured ? static_cast<std::uint32_t>(limits.header_bytes) : default_header_bytes;
+    parser.header_limit(header_bytes);
+    // Also bounds a trailer and the extensions of a chunk, which the parser's limits don't.
+    this->buffer.max_size(std::max(this->buffer.size(), header_bytes + buffer_slack));
+    auto memory =
+        std::make_unique<shell::receive_budget::share>(this->request_gateway->request_memory());
+    bool has_room = true;
+    parser.eager(true);
     parser.body_limit(configured ? limits.body_bytes : default_body_bytes);
     boost::system::error_code error;
     co_await http::async_read_header(this->socket, this->buffer, parser,
@@ -176,9 +196,10 @@
         co_await asio::async_write(this->socket, asio::buffer(continue_response),
                                    asio::redirect_error(asio::use_awaitable, error));
     }
-    if (!error && !parser.is_done()) {
-        co_await http::async_read(this->socket, this->buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
+    while (!error && has_room && !parser.is_done()) {
+        co_await http::async_read_some(this->socket, this->buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        has_room = memory->grow_to(memory_of(parser.get().body()));
     }
     this->reading_request = false;
     if (this->closed) {
@@ -197,7 +218,12 @@
         // response may still be on its way, so the connection isn't closed either.
         co_return co_await this->wait_for_disconnect();
     }
-    if (error == http::error::header_limit) {
+    if (!has_room) {
+        memory.reset();
+        this->refuse_for_memory();
+        co_return co_await this->wait_for_disconnect();
+    }
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         this->send_error_response(
             static_cast<unsigned>(http::status::request_header_fields_too_large), "header_limit");
         co_return co_await this->wait_for_disconnect();
@@ -217,6 +243,7 @@
     pipelined->request = std::make_shared<served_request>();
     pipelined->request->started = this->last_activity;
     pipelined->request->message = parser.release();
+    pipelined->request->memory = std::move(memory);
     this->queue.push_back(pipelined);
     asio::co_spawn(
         this->socket.get_executor(),
@@ -241,6 +268,19 @@
     co_return false;
 }
 
+// Refuses a request that wasn't read to its end since the requests of all callers together take
+// too much memory.
+void caller_session::refuse_for_memory()
+{
+    this->request_gateway->metrics.count_refusal(refusal_reason::too_many_connections, 0);
+    this->request_gateway->events->write(shell::event{"request_memory_full"}.with(
+        "held_bytes", this->request_gateway->request_memory().bytes()));
+    auto response = make_refusal_response(
+        {refusal_reason::too_many_connections, run_state::no, memory_retry_time});
+    response.closes_connection = true;
+    this->queue_last_response(std::move(response));
+}
+
 // Queues an error response to a malformed or oversized request behind the responses to earlier
 // requests.
 void caller_session::send_error_response(unsigned status, std::string_view reason)
@@ -248,9 +288,14 @@
     this->request_gateway->metrics.count_refusal(refusal_reason::bad_request, 0);
     this->request_gateway->events->write(
         shell::event{"bad_request"}.with("status", status).with("reason", reason));
+    this->queue_last_response(make_error_response(status, reason, true));
+}
+
+void caller_session::queue_last_response(caller_response response)
+{
     auto pipelined = std::make_shared<pipelined_request>();
     pipelined->request = std::make_shared<served_request>();
-    pipelined->response = make_error_response(status, reason, true);
+    pipelined->response = std::move(response);
     this->queue.push_back(pipelined);
     asio::co_spawn(
         this->socket.get_executor(),
--- a/bth/gateway/caller_session.h
+++ b/bth/gateway/caller_session.h
@@ -62,7 +62,9 @@
     boost::asio::awaitable<void> write_responses();
     boost::asio::awaitable<void> begin_lingering_close();
     boost::asio::awaitable<void> enforce_timeouts();
+    void refuse_for_memory();
     void send_error_response(unsigned status, std::string_view reason);
+    void queue_last_response(caller_response response);
     void abort_connection(connection_end why);
     void report_cut_requests(connection_end why);
 
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -134,7 +134,9 @@
                  field_names header_names, shell::event_log& events)
     : events{&events}, context{&context}, settings{std::move(settings)},
       header_names{std::move(header_names)}, allowances{this->settings.allowance_terms},
-      board{this->settings.regions}, senders{this->settings.name, this->settings.domain}
+      board{this->settings.regions}, connections{this->settings.response_memory},
+      request_budget{this->settings.request_memory}, senders{this->settings.name,
+                                                             this->settings.domain}
 {
     this->region = std::string{this->board.region_of(this->settings.domain)};
 }
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -74,6 +74,10 @@
     bool tells_target_loads{};
     // How long after the last word of a control host in contact keys are accepted; forever if 0.
     duration key_validity{};
+    // The memory of responses that are being received.
+    shell::receive_limits response_memory{};
+    // The memory of requests that are being received or served.
+    shell::receive_limits request_memory{};
 };
 
 // The times of a stop; see stop_plan.
@@ -85,6 +89,7 @@
 // A request of a caller that is being served.
 struct served_request {
     caller_request message;
+    std::unique_ptr<shell::receive_budget::share> memory;
     time_point started;
     std::shared_ptr<send_control> control{std::make_shared<send_control>()};
 };
@@ -165,6 +170,9 @@
     // Ends the requests of callers that are in flight as if their deadlines had passed.
     void end_requests();
 
+    // The memory of the requests of all callers.
+    shell::receive_budget& request_memory() { return this->request_budget; }
+
     // Open connections of callers; counted by the sessions.
     std::size_t callers{};
     gateway_metrics metrics;
@@ -408,6 +416,7 @@
     dispatch::target_registry board;
     dispatch::network_delays delays;
     target_connection_pool connections;
+    shell::receive_budget request_budget;
     std::map<std::string, weighted_split> splits;
     std::map<std::string, dispatch::service_time_estimate> work_estimates;
     std::map<std::string, dispatch::retry_window> retry_windows;
--- a/bth/gateway/target_pool.cpp
+++ b/bth/gateway/target_pool.cpp
@@ -49,9 +49,10 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-std::unique_ptr<target_connection>
-target_connection_pool::acquire(const std::string& target, std::string_view request_id,
-                                time_point now, duration max_idle_time)
+std::unique_ptr<target_connection> target_connection_pool::acquire(const std::string& target,
+                                                                   std::string_view request_id,
+                                                                   time_point now,
+                                                                   duration max_idle_time)
 {
     const auto found = this->idle.find(target);
     if (found == this->idle.end()) {
@@ -79,6 +80,7 @@
         return;
     }
     connection->idle_since = now;
+    connection->buffer.shrink_to_fit();
     auto& connections = this->idle[target];
     connections.push_back(std::move(connection));
     if (connections.size() > max_idle_connections_per_target) {
--- a/bth/gateway/target_pool.h
+++ b/bth/gateway/target_pool.h
@@ -11,7 +11,7 @@
 #pragma once
 
 #include "bth/base/time.h"
-#include "bth/gateway/response_budget.h"
+#include "bth/shell/receive_budget.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -62,6 +62,11 @@
 
 class target_connection_pool {
 public:
+    target_connection_pool() = default;
+    explicit target_connection_pool(const shell::receive_limits& response_limits)
+        : response_memory{response_limits}
+    {}
+
     // Returns the most recently used connection to a target that is reusable, idle for less than
     // `max_idle_time` and hasn't carried the request, or null.
     std::unique_ptr<target_connection> acquire(const std::string& target,
@@ -80,11 +85,11 @@
     std::size_t size() const;
 
     // The memory of the responses that are read from all connections.
-    response_budget& responses() { return this->response_memory; }
+    shell::receive_budget& responses() { return this->response_memory; }
 
 private:
     std::map<std::string, std::vector<std::unique_ptr<target_connection>>> idle;
-    response_budget response_memory;
+    shell::receive_budget response_memory;
 };
 
 } // namespace bth::gateway
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -237,15 +237,15 @@
 // Reads one response. Returns an error also if all responses together take too much memory.
 asio::awaitable<boost::system::error_code>
 read_one(target_connection& connection, http::response_parser<http::string_body>& parser,
-         response_budget::share& memory)
+         shell::receive_budget::share& memory, std::size_t max_body_bytes)
 {
-    parser.body_limit(response_budget::max_total);
+    parser.body_limit(max_body_bytes);
     parser.eager(true);
     boost::system::error_code error;
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(connection.socket, connection.buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
-        if (!memory.grow_to(parser.get().body().size())) {
+        if (!memory.grow_to(parser.get().body().size() + connection.buffer.capacity())) {
             error = http::error::body_limit;
         }
     }
@@ -256,15 +256,15 @@
 // `reusable` if the connection can't be reused afterwards. Sets `partial` if the response was
 // not received completely.
 asio::awaitable<std::optional<target_response>>
-read_response(target_connection& connection, const target_request& request, response_budget& budget,
-              bool& reusable, partial_response& partial)
+read_response(target_connection& connection, const target_request& request,
+              shell::receive_budget& budget, bool& reusable, partial_response& partial)
 {
     const bool is_first = !std::exchange(connection.is_used, true);
     for (int stale_responses = 0; stale_responses <= max_stale_responses; ++stale_responses) {
         http::response_parser<http::string_body> parser;
         parser.skip(request.is_head);
-        response_budget::share memory{budget};
-        const auto error = co_await read_one(connection, parser, memory);
+        shell::receive_budget::share memory{budget};
+        const auto error = co_await read_one(connection, parser, memory, budget.limits().shared);
         if (error) {
             partial.is_too_long = is_length_error(error);
             partial.is_connection_lost = is_connection_error(error);
--- a/bth/gateway/target_send_test.cpp
+++ b/bth/gateway/target_send_test.cpp
@@ -1,8 +1,8 @@
 // Targets whose answers have no end. They run as coroutines beside the code under test.
 #include "bth/gateway/target_send.h"
 
-#include "bth/gateway/response_budget.h"
 #include "bth/shell/net.h"
+#include "bth/shell/receive_budget.h"
 
 #include <algorithm>
 #include <array>
@@ -167,7 +167,7 @@
     CHECK_TRUE(seen.longest < 2500ms);
     LONGS_EQUAL(count, seen.connections_closed);
     // One more part of each may arrive before it is given up.
-    CHECK_COMPARE(seen.most_held, <=, response_budget::max_total + count * mebibyte);
+    CHECK_COMPARE(seen.most_held, <=, bth::shell::receive_limits{}.shared + count * mebibyte);
     // Socket buffers of the system hold some MiB of what was written.
     CHECK_COMPARE(seen.bytes_sent, <, max_bytes + count * 8 * mebibyte);
 }
@@ -197,7 +197,7 @@
 // of the total for the first one, 1/7 for the second, and so on.
 TEST(endless_answer, bodies_without_end_take_bounded_memory_together)
 {
-    constexpr std::size_t max_read = response_budget::max_total * 11 / 4;
+    constexpr std::size_t max_read = bth::shell::receive_limits{}.shared * 11 / 4;
     check_bounded(send_to_endless_target(answer_start + "\r\n", block, 8), 8, max_read);
     const auto chunk = "10000\r\n" + block + "\r\n";
     check_bounded(
