Send no body in an entry host's own answer to HEAD

Cause: serialize() didn't know the method of the request; only a target's answer was cut for HEAD. It is told now, for whatever answer, and states the length of the body that it leaves out.

--- a/bth/gateway/caller_response.cpp
+++ b/bth/gateway/caller_response.cpp
@@ -121,7 +121,7 @@
     return out;
 }
 
-std::string serialize(const caller_response& response, bool close_after)
+std::string serialize(const caller_response& response, bool close_after, bool is_head)
 {
     const auto reason = http::obsolete_reason(static_cast<http::status>(response.status));
     std::string out = "HTTP/1.1 " + std::to_string(response.status) + " ";
@@ -136,7 +136,8 @@
     if (close_after) {
         out += "Connection: close\r\n";
     }
-    return out + "\r\n" + response.body;
+    out += "\r\n";
+    return is_head ? out : out + response.body;
 }
 
 } // namespace bth::gateway
--- a/bth/gateway/caller_response.h
+++ b/bth/gateway/caller_response.h
@@ -54,8 +54,9 @@
 caller_response make_error_response(unsigned status, std::string_view reason,
                                     bool closes_connection);
 
-// Returns the response as HTTP/1.1 bytes. `close_after` adds "Connection: close".
-std::string serialize(const caller_response& response, bool close_after);
+// Returns the response as HTTP/1.1 bytes, without its body if the request was HEAD. `close_after`
+// adds "Connection: close".
+std::string serialize(const caller_response& response, bool close_after, bool is_head = false);
 
 // Returns whether a header field must not be forwarded: hop-by-hop fields (RFC 9110, 7.6.1), the
 // fields that the Connection field (`connection_options`) names, and Content-Length, which is
--- a/bth/gateway/caller_response_test.cpp
+++ b/bth/gateway/caller_response_test.cpp
@@ -66,6 +66,16 @@
                 make_refusal_response({refusal_reason::deadline, run_state::unknown, {}}).status);
 }
 
+// The body of a refusal of HEAD stood where the next response was due.
+TEST(caller_response, response_of_this_host_to_head_has_no_body)
+{
+    const auto refused = make_refusal_response({refusal_reason::queue_full, run_state::no, 250ms});
+    const auto text = serialize(refused, false, true);
+    CHECK_TRUE(contains(text, "Content-Length: " + std::to_string(refused.body.size()) + "\r\n"));
+    CHECK_TRUE(text.ends_with("\r\n\r\n"));
+    CHECK_TRUE(serialize(refused, false).ends_with(refused.body));
+}
+
 TEST(caller_response, closing_response_states_connection_close)
 {
     CHECK_TRUE(contains(serialize(make_error_response(400, "bad_request", true), true),
--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -327,7 +327,8 @@
                             (this->read_closed && is_last);
         // From here on no request is served: its response would find the connection closed.
         this->read_closed = this->read_closed || closes;
-        const auto bytes = serialize(*pipelined->response, closes);
+        const bool is_head = pipelined->request->message.method() == http::verb::head;
+        const auto bytes = serialize(*pipelined->response, closes, is_head);
         boost::system::error_code error;
         co_await asio::async_write(this->socket, asio::buffer(bytes),
                                    asio::redirect_error(asio::use_awaitable, error));
