Refuse requests whose transfer coding hides where they end

Cause: Beast's parser takes a request whose last transfer coding isn't "chunked" for one without a body, and leaves the check to its user. All Transfer-Encoding fields are checked together now: 400 if the last coding isn't chunked, 501 if others stand before it, and the connection is closed, so that nothing behind the head is read as a request.

--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "bth/gateway/caller_session.h"
 
+#include "bth/gateway/transfer_codings.h"
 #include "bth/shell/net.h"
 
 #include <algorithm>
@@ -186,6 +187,14 @@
     co_await http::async_read_header(this->socket, this->buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     this->reading_request = true;
+    const auto codings = error ? transfer_codings::readable : transfer_codings_of(parser.get());
+    if (codings != transfer_codings::readable && !this->closed && !this->read_closed) {
+        this->reading_request = false;
+        const auto status = codings == transfer_codings::unknown ? http::status::not_implemented
+                                                                 : http::status::bad_request;
+        this->send_error_response(static_cast<unsigned>(status), "transfer_encoding");
+        co_return co_await this->wait_for_disconnect();
+    }
     const bool expects_continue = !error && parser.get()[http::field::expect] == "100-continue";
     while (expects_continue && !this->queue.empty() && !this->closed && !this->read_closed) {
         // Written now, it could end up inside an earlier response.
