Pass over interim answers of targets

Cause: an answer without a request id counted as that to the first request on a connection unless its status is 2xx. Up to 16 interim answers are passed over now; 101 ends the attempt, since what follows isn't HTTP. A success with a transfer coding beside chunked is no answer.

--- a/bth/gateway/faulty_target_test.cpp
+++ b/bth/gateway/faulty_target_test.cpp
@@ -90,8 +90,8 @@
 // one, it writes the answer before that once more, on the connection where it wrote that.
 struct repeating_target {
     repeating_target(asio::io_context& context, std::vector<std::string> given_answers)
-        : acceptor{context, tcp::endpoint{asio::ip::address_v4::loopback(), 0}},
-          answers{std::move(given_answers)}
+        : acceptor{context, tcp::endpoint{asio::ip::address_v4::loopback(), 0}}, answers{std::move(
+                                                                                     given_answers)}
     {}
 
     tcp::acceptor acceptor;
@@ -252,8 +252,8 @@
     const std::string failure =
         "HTTP/1.1 500 Failed\r\nX-Id: 1\r\nX-Receipt: r\r\nContent-Length: 0\r\n\r\n";
     asio::io_context context;
-    const auto target = std::make_shared<repeating_target>(
-        context, std::vector{failure, answer_to("1", "one")});
+    const auto target =
+        std::make_shared<repeating_target>(context, std::vector{failure, answer_to("1", "one")});
     const auto seen = send_in_turn(context, {"1", "1"}, target);
     CHECK_TRUE(seen.results.front().outcome == send_outcome::failed);
     CHECK_TRUE(seen.results.back().outcome == send_outcome::answered);
@@ -275,6 +275,36 @@
     }
 }
 
+// An interim response without a request id was passed on as the final one, so that callers took
+// each response of the connection for that to their request before.
+TEST(faulty_target, interim_response_is_passed_over)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    const auto seen = send_in_turn(
+        {"1", "2"}, {interim + answer_to("1", "one"), interim + interim + answer_to("2", "two")});
+    LONGS_EQUAL(1, seen.connections);
+    LONGS_EQUAL(2, seen.results.size());
+    STRCMP_EQUAL("one", seen.results.front().response->body.c_str());
+    STRCMP_EQUAL("two", seen.results.back().response->body.c_str());
+}
+
+// What follows 101 isn't HTTP.
+TEST(faulty_target, switch_of_protocols_is_no_answer)
+{
+    const auto seen =
+        send_in_turn({"1"}, {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + answer_to("1", "one")});
+    CHECK_TRUE(seen.results.front().outcome == send_outcome::broken);
+    CHECK_TRUE(seen.results.front().may_have_run);
+}
+
+TEST(faulty_target, success_with_an_unknown_transfer_coding_is_no_answer)
+{
+    const auto seen = send_in_turn(
+        {"1"}, {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Receipt: r\r\nTransfer-Encoding: gzip, chunked"
+                "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"});
+    CHECK_TRUE(seen.results.front().outcome == send_outcome::broken);
+}
+
 TEST(faulty_target, request_behind_a_refusal_written_once_more_may_have_run)
 {
     const auto seen = send_in_turn({"1", "2"}, {answer_to("1", "one"), refusal_without_id});
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -1,5 +1,6 @@
 #include "bth/gateway/target_send.h"
 
+#include "bth/gateway/transfer_codings.h"
 #include "bth/shell/net.h"
 
 #include <algorithm>
@@ -35,6 +36,8 @@
 // Maximum number of responses to earlier requests that are skipped on a connection. If one more
 // arrives, the attempt fails and the connection is closed.
 constexpr int max_stale_responses = 3;
+// Maximum number of interim responses (1xx) before a final one.
+constexpr int max_interim_responses = 16;
 
 std::string_view view(boost::beast::string_view text)
 {
@@ -154,12 +157,14 @@
 }
 
 // Returns whether a success (2xx) is the complete response of the target itself: it has the receipt
-// and no content encoding. Other responses are not checked.
+// and neither a content encoding nor a transfer coding beside "chunked". Other responses are not
+// checked.
 bool is_intact(const target_response& response, const field_names& names)
 {
     const bool success = response.result_int() / 100 == 2;
     return !success || (response.find(names.receipt) != response.end() &&
-                        response.find(http::field::content_encoding) == response.end());
+                        response.find(http::field::content_encoding) == response.end() &&
+                        transfer_codings_of(response) == transfer_codings::readable);
 }
 
 target_signals signals_of(const target_response& response, const field_names& names)
@@ -260,7 +265,9 @@
               shell::receive_budget& budget, bool& reusable, partial_response& partial)
 {
     const bool is_first = !std::exchange(connection.is_used, true);
-    for (int stale_responses = 0; stale_responses <= max_stale_responses; ++stale_responses) {
+    int stale_responses = 0;
+    int interim_responses = 0;
+    while (stale_responses <= max_stale_responses && interim_responses <= max_interim_responses) {
         http::response_parser<http::string_body> parser;
         parser.skip(request.is_head);
         shell::receive_budget::share memory{budget};
@@ -273,6 +280,14 @@
             }
             co_return std::nullopt;
         }
+        if (parser.get().result() == http::status::switching_protocols) {
+            // No request asks for that, so that what follows can't be read.
+            co_return std::nullopt;
+        }
+        if (parser.get().result_int() / 100 == 1) {
+            ++interim_responses;
+            continue;
+        }
         reusable = reusable && parser.keep_alive() && !parser.need_eof();
         auto response = parser.release();
         if (matches_request(response, request, is_first)) {
@@ -280,6 +295,7 @@
             co_return response;
         }
         reusable = false;
+        ++stale_responses;
     }
     co_return std::nullopt;
 }
