Parse what has arrived of a body at once

The reader of callers' requests set the parser to parse eagerly before it read the head, which turns that off again: a body was parsed one element at a time. No case shows a difference; found by reading.

--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -181,7 +181,6 @@
     auto memory =
         std::make_unique<shell::receive_budget::share>(this->request_gateway->request_memory());
     bool has_room = true;
-    parser.eager(true);
     parser.body_limit(configured ? limits.body_bytes : default_body_bytes);
     boost::system::error_code error;
     co_await http::async_read_header(this->socket, this->buffer, parser,
@@ -205,6 +204,8 @@
         co_await asio::async_write(this->socket, asio::buffer(continue_response),
                                    asio::redirect_error(asio::use_awaitable, error));
     }
+    // Reading the head alone has turned that off.
+    parser.eager(true);
     while (!error && has_room && !parser.is_done()) {
         co_await http::async_read_some(this->socket, this->buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
--- a/bth/gateway/transfer_codings.h
+++ b/bth/gateway/transfer_codings.h
@@ -5,6 +5,7 @@
 //   if (transfer_codings_of(message) != transfer_codings::readable) { refuse(); }
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
