Release the memory of long frames, and test the bounds by themselves

A reader of frames kept the memory of its longest frame: the assignment of {} to a vector empties it and frees nothing. Since that memory counts against the budget of all peers, so that with a dozen hosts that had each sent a long frame once, further long frames would have closed their connections. Found by the first run of frame.reader_releases_the_memory_of_a_long_frame: it held 2,097,248 bytes in place of none. The memory is swapped out now, also where the beginning of the next frame is there already.

--- a/bth/wire/frame.cpp
+++ b/bth/wire/frame.cpp
@@ -64,14 +64,21 @@
     this->pending.insert(this->pending.end(), more.begin(), more.end());
 }
 
+void frame_reader::release_memory()
+{
+    const auto rest = byte_view{this->pending}.subspan(this->consumed);
+    bytes{rest.begin(), rest.end()}.swap(this->pending);
+    this->consumed = 0;
+    std::vector<std::uint64_t>{}.swap(this->aligned);
+}
+
 tl::expected<std::optional<frame>, frame_error> frame_reader::next()
 {
-    const byte_view rest = byte_view{this->pending}.subspan(this->consumed);
-    if (rest.empty() && this->held_bytes() > kept_bytes) {
-        this->pending = {};
-        this->aligned = {};
-        this->consumed = 0;
+    if (this->held_bytes() > kept_bytes &&
+        this->pending.size() - this->consumed <= kept_bytes / 2) {
+        this->release_memory();
     }
+    const byte_view rest = byte_view{this->pending}.subspan(this->consumed);
     if (rest.size() < prefix_bytes) {
         return std::nullopt;
     }
--- a/bth/wire/frame.h
+++ b/bth/wire/frame.h
@@ -92,6 +92,9 @@
     }
 
 private:
+    // Keeps only what isn't consumed. The frame that was returned last is gone.
+    void release_memory();
+
     std::size_t max_bytes;
     bytes pending;
     std::size_t consumed{};
--- a/bth/wire/frame_test.cpp
+++ b/bth/wire/frame_test.cpp
@@ -129,6 +129,39 @@
     }
 }
 
+// Frames before the hello of many connections took all memory of a host.
+TEST(frame, frame_longer_than_the_reader_takes_is_refused_by_its_length)
+{
+    const bytes long_frame =
+        bth::wire::encode_frame(frame_kind::stream, payload_of(bth::wire::max_hello_bytes));
+    bth::wire::frame_reader reader{bth::wire::max_hello_bytes};
+    reader.append(bth::wire::encode_hello("a", bth::incarnation{1}));
+    CHECK_TRUE(reader.next()->has_value());
+    reader.append(bth::wire::byte_view{long_frame}.first(4));
+    const auto refused = reader.next();
+    CHECK_FALSE(refused.has_value());
+    CHECK_TRUE(refused.error() == frame_error::too_long);
+    reader.set_max_bytes(bth::wire::max_frame_bytes);
+    reader.append(bth::wire::byte_view{long_frame}.subspan(4));
+    CHECK_TRUE(reader.next()->has_value());
+}
+
+TEST(frame, reader_releases_the_memory_of_a_long_frame)
+{
+    constexpr std::size_t payload_bytes = 1024UL * 1024;
+    bth::wire::frame_reader reader;
+    reader.append(bth::wire::encode_frame(frame_kind::stream, payload_of(payload_bytes)));
+    CHECK_TRUE(reader.next()->has_value());
+    CHECK_TRUE(reader.held_bytes() > payload_bytes);
+    // Also while the beginning of the next frame is there already.
+    const bytes next = bth::wire::encode_frame(frame_kind::stream, payload_of(1000));
+    reader.append(bth::wire::byte_view{next}.first(500));
+    CHECK_FALSE(reader.next()->has_value());
+    CHECK_COMPARE(reader.held_bytes(), <, 1000);
+    reader.append(bth::wire::byte_view{next}.subspan(500));
+    CHECK_TRUE(reader.next()->has_value());
+}
+
 TEST(frame, frames_behind_each_other_are_all_read)
 {
     bth::wire::frame_reader reader;
