Test a Retry-After that is too large with an unused retry budget

process_platform_rests failed now and then, mostly beside other tests: while a target asked for a rest of s, one request was answered 503 queue_full.

Trace, 15 of 260 plays beside 20 to 30 others (the last 5 with the hosts' logs): in all five, the refused request was turned away by the resting target (target_rests, rest_ms=3600000) and then logged retry reason=not_run granted=false. In the first half of the same test five targets turn away about 50 requests of each host in a second, which uses up the host's part of the retry budget (0.2 of the requests and 58 more in 10 s, for three hosts): 22 retries granted, 30 denied. The second half began 0.3 to 1 s later, within the same 10 s, and asked that every request be served. The refusals are what the budget demands, and they are true; the check was wrong.

--- a/process_tests/platform_rests_test.py
+++ b/process_tests/platform_rests_test.py
@@ -27,13 +27,17 @@
                           if not any(each.ran and each.at > ended for each in target.arrivals())}
         self.assert_outcomes(outcomes, {200, 503})
         self.assertEqual([each.name for each in unused], [])
-        with self.subTest("a number that is too large"):
-            huge = self.target_of("n1")
-            huge.rest = "99999999999999999999"
-            with self.callers() as outcomes:
-                time.sleep(1)
-            self.assertTrue(any(each.rest for each in huge.arrivals()))
-            self.assert_outcomes(outcomes, {200})
+        for each in self.entries.values():
+            self.assertIsNone(each.popen.poll())
+
+    # A test of its own: the targets above turn away enough requests to use up the retry budget of its window.
+    def test_a_retry_after_that_is_too_large_harms_nothing(self):
+        huge = self.target_of("n1")
+        huge.rest = "99999999999999999999"
+        with self.callers() as outcomes:
+            time.sleep(1)
+        self.assertTrue(any(each.rest for each in huge.arrivals()))
+        self.assert_outcomes(outcomes, {200})
         for each in self.entries.values():
             self.assertIsNone(each.popen.poll())
 
