--- a/bth/shell/receive_budget_test.cpp
+++ b/bth/shell/receive_budget_test.cpp
@@ -29,7 +29,7 @@
 // up.
 TEST(receive_budget, senders_without_end_take_bounded_memory_together)
 {
-    for (const std::size_t count : {1, 8, 64}) {
+    for (const std::size_t count : {1UL, 8UL, 64UL}) {
         receive_budget budget{limits};
         std::vector<sender> senders(count);
         std::size_t most = 0;
