Review: the split route is judged by the share of its parts

Cause: a part with weight 0 is still named by the new version, so that the rule on shares is the plainer one to judge by. Change: review/7 changes 900 and 100 to 1 and 0 and checks the share of each part against the bound of 0.2.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A configuration takes all traffic of a split route from one of its services; see claim.txt."""
+"""A configuration gives all traffic of a split route to one of its two services; see claim.txt."""
 import pathlib
 import sys
 import time
@@ -10,6 +10,8 @@
 WAIT_S = 4.0  # From the acknowledgement to the next request; more than APPLY_S.
 BEFORE = 25  # Requests to the first entry host before the change; each further one gets one more.
 AFTER = 60  # Requests to each entry host after it.
+FIRST, SECOND = (900, 100), (1, 0)  # The weights before and after the change.
+MOST_OFF = 0.2  # The bound of the rule, for 200 requests or more.
 
 
 def split(kept, taken_out):
@@ -23,7 +25,7 @@
         for row, zone in enumerate(ZONES):
             fleet.add_target(f"i-stable-{zone}", "stable", zone, 100 + row)
             fleet.add_target(f"i-trial-{zone}", "trial", zone, 120 + row)
-        routes = {"r-1": {key: value for key, value in split(90, 10).items() if key != "service"}}
+        routes = {"r-1": {key: value for key, value in split(*FIRST).items() if key != "service"}}
         fleet.start(configuration(1, routes, ["stable", "trial"]))
         time.sleep(3)
         ran = {}
@@ -39,18 +41,20 @@
                 service = send(name)
                 ran[service] = ran.get(service, 0) + 1
         print(f"before the change: {ran}")
-        weights = (1, 0) if trouble else (90, 10)
+        weights = SECOND if trouble else FIRST
         routes = {"r-1": {key: value for key, value in split(*weights).items() if key != "service"}}
         fleet.until(lambda: fleet.put(configuration(2, routes, ["stable", "trial"])) == 200, "version 2 is acknowledged", 10)
         time.sleep(WAIT_S)
-        broken = 0
+        at_trial = 0
         for name in fleet.entry_names():
             services = [send(name) for _ in range(AFTER)]
-            broken += services.count("trial")
+            at_trial += services.count("trial")
             record(f"{name}: {services.count('trial')} of {AFTER} requests ran at the service trial")
-        print(f"later than {APPLY_S} s after the acknowledgement: {broken} of {AFTER * len(fleet.entry_names())} requests ran "
-              "at the service trial")
-        return not trouble or broken == 0
+        sent = AFTER * len(fleet.entry_names())
+        share, wanted = at_trial / sent, weights[1] / sum(weights)
+        print(f"later than {APPLY_S} s after the acknowledgement: {at_trial} of {sent} requests ran at the service trial, "
+              f"{share:.2f} where its weight's share is {wanted:.2f}")
+        return abs(share - wanted) <= MOST_OFF
 
 
 finish(case, __file__)
