--- a/review/10/case.py
+++ b/review/10/case.py
@@ -7,7 +7,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
-from fleet_2 import HOST, PREFIX, REQUEST_ID, ZONES, Fleet, configuration, finish, route  # noqa: E402
+from fleet_2 import HOST, PREFIX, REQUEST_ID, ZONES, Fleet, configuration, finish, harness, route  # noqa: E402
 
 # No response in HTTP: the first digit of a status is 1 to 5 (RFC 9112, 4; RFC 9110, 15).
 NO_RESPONSE = b"HTTP/1.1 000 -\r\nContent-Length: 6\r\n\r\nerror\n"
@@ -78,7 +78,7 @@
     with Fleet(record) as fleet:
         upstreams = []
         for row, zone in enumerate(ZONES):
-            endpoint = f"{fleet.address(100 + row)}:{8080}"
+            endpoint = harness.free_endpoint(fleet.address(100 + row))
             upstreams.append(Upstream(f"i-{zone}", "statusdesk", zone, endpoint, record))
             fleet.targets.append(upstreams[-1])
         fleet.start(configuration(1, {"r-1": route("/read/", "statusdesk")}, ["statusdesk"]))
