Decide in one place which heads are those of an answer

Cause: Beast's parser takes any three digits for a status, any word for a transfer coding, lists for a length, and joins a line that starts with a blank to the line before; what it accepted was taken for an answer. Each reader made its own checks: target_send knew interim answers and the coding of a success, bth-entry and http_try (the platform's list, control hosts, load reports) neither, and took 103 for the final answer.

response_head.h reads a head and decides by RFC 9110 and 9112 whether it is one, at once and not behind its body, and all readers call it. A refusal in such a head isn't believed. Answers that another host has read are checked again, since hosts of earlier builds read less strictly. A blank or a control byte inside the name of a field was rejected by the parser before, but for a blank in front, which made the line a part of the value before.

On these fail: head_that_is_no_response_is_no_answer, field_name_with_a_blank_or_a_control_byte_is_no_answer (a tab in front) and body_behind_a_head_that_is_no_response_is_not_awaited of faulty_target, response_whose_head_is_none_is_a_broken_attempt of handoff, both tests of simple_http, and two of process_entry_faults (000 passed on; 103 as the answer).

--- a/bth/entry/target_attempt.h
+++ b/bth/entry/target_attempt.h
@@ -8,6 +8,7 @@
 #include "bth/entry/attempt_guard.h"
 #include "bth/entry/request_body.h"
 #include "bth/entry/target_pool.h"
+#include "bth/shell/response_head.h"
 
 #include <algorithm>
 #include <array>
@@ -175,18 +176,20 @@
     {
         this->connection->buffer.reserve(chunk_bytes);
         boost::system::error_code error;
-        do {
+        bool is_final = false;
+        for (int interim = 0; !error && !is_final && interim <= shell::max_interim_responses;
+             ++interim) {
             this->parser.emplace();
             this->parser->header_limit(max_header_bytes);
             this->parser->body_limit(boost::none);
             this->parser->skip(this->caller.head().method() == http::verb::head);
-            co_await http::async_read_header(this->connection->socket, this->connection->buffer,
-                                             *this->parser, this->redirect_to(error));
-        } while (!error && http::to_status_class(this->parser->get().result()) ==
-                               http::status_class::informational);
+            error = co_await shell::read_response_head(this->connection->socket,
+                                                       this->connection->buffer, *this->parser);
+            is_final = !error && !shell::is_interim(this->parser->get().base());
+        }
         // Rejects a response that only the end of the connection delimits: its end can't be
         // distinguished from a broken connection.
-        co_return !error && (this->parser->is_done() || !this->parser->need_eof());
+        co_return is_final && (this->parser->is_done() || !this->parser->need_eof());
     }
 
     // Records in the result whether the response status signals overload, and the Retry-After time.
--- a/bth/gateway/caller_session.cpp
+++ b/bth/gateway/caller_session.cpp
@@ -1,7 +1,7 @@
 #include "bth/gateway/caller_session.h"
 
-#include "bth/gateway/transfer_codings.h"
 #include "bth/shell/net.h"
+#include "bth/shell/transfer_codings.h"
 
 #include <algorithm>
 #include <array>
@@ -186,11 +186,13 @@
     co_await http::async_read_header(this->socket, this->buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     this->reading_request = true;
-    const auto codings = error ? transfer_codings::readable : transfer_codings_of(parser.get());
-    if (codings != transfer_codings::readable && !this->closed && !this->read_closed) {
+    const auto codings =
+        error ? shell::transfer_codings::readable : shell::transfer_codings_of(parser.get());
+    if (codings != shell::transfer_codings::readable && !this->closed && !this->read_closed) {
         this->reading_request = false;
-        const auto status = codings == transfer_codings::unknown ? http::status::not_implemented
-                                                                 : http::status::bad_request;
+        const auto status = codings == shell::transfer_codings::unknown
+                                ? http::status::not_implemented
+                                : http::status::bad_request;
         this->send_error_response(static_cast<unsigned>(status), "transfer_encoding");
         co_return co_await this->wait_for_disconnect();
     }
--- a/bth/gateway/faulty_target_test.cpp
+++ b/bth/gateway/faulty_target_test.cpp
@@ -297,6 +297,56 @@
     CHECK_TRUE(seen.results.front().may_have_run);
 }
 
+// A status of 000 was passed on without a length, and its body stood before the next answer.
+TEST(faulty_target, head_that_is_no_response_is_no_answer)
+{
+    const std::string rest = "X-Id: 1\r\nX-Receipt: r\r\nContent-Length: 6\r\n\r\nerror\n";
+    for (const auto& answer :
+         {"HTTP/1.1 000 -\r\n" + rest, "HTTP/1.1 099 -\r\n" + rest, "HTTP/1.1 600 -\r\n" + rest,
+          "HTTP/1.1 999 -\r\n" + rest, "HTTP/1.1 000 -\r\nX-Not-Run: 1\r\n" + rest,
+          "HTTP/1.1 404 No\r\nTransfer-Encoding: gzip\r\n" + rest,
+          "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nTransfer-Encoding: gzip\r\n" + rest,
+          std::string{"HTTP/1.0 200 OK\r\nX-Id: 1\r\nX-Receipt: r\r\nTransfer-Encoding: chunked"
+                      "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}}) {
+        const auto seen = send_in_turn({"1", "2"}, {answer, answer_to("2", "two")});
+        LONGS_EQUAL(2, seen.results.size());
+        LONGS_EQUAL(2, seen.connections);
+        const auto& first = seen.results.front();
+        CHECK_TRUE_TEXT(first.outcome == send_outcome::broken, answer.c_str());
+        CHECK_TRUE_TEXT(first.may_have_run, answer.c_str());
+        CHECK_FALSE(first.response.has_value());
+        STRCMP_EQUAL("two", seen.results.back().response->body.c_str());
+    }
+}
+
+// Other systems passed on such a line, or a body that the name had changed.
+TEST(faulty_target, field_name_with_a_blank_or_a_control_byte_is_no_answer)
+{
+    for (int byte = 0; byte <= 0x7f; byte = byte == 0x20 ? 0x7f : byte + 1) {
+        const std::string each(1, static_cast<char>(byte));
+        for (const auto& name :
+             {each + "Content-Length", "Content" + each + "Length", "Content-Length" + each}) {
+            const auto seen =
+                send_in_turn({"1"}, {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Receipt: r\r\n" + name +
+                                     ": 2\r\nContent-Length: 4\r\n\r\nbody"});
+            CHECK_TRUE_TEXT(seen.results.front().outcome == send_outcome::broken, name.c_str());
+            CHECK_TRUE(seen.results.front().may_have_run);
+        }
+    }
+}
+
+// It would hold the attempt until its deadline.
+TEST(faulty_target, body_behind_a_head_that_is_no_response_is_not_awaited)
+{
+    const auto started_at = std::chrono::steady_clock::now();
+    // The target goes on with the connection, so that only the head tells.
+    const auto seen =
+        send_in_turn({"1", "2"}, {"HTTP/1.1 000 -\r\nX-Id: 1\r\nContent-Length: 6\r\n\r\n",
+                                  answer_to("2", "two")});
+    CHECK_TRUE(seen.results.front().outcome == send_outcome::broken);
+    CHECK_TRUE(std::chrono::steady_clock::now() - started_at < 4s);
+}
+
 TEST(faulty_target, success_with_an_unknown_transfer_coding_is_no_answer)
 {
     const auto seen = send_in_turn(
--- a/bth/gateway/handoff.cpp
+++ b/bth/gateway/handoff.cpp
@@ -1,6 +1,7 @@
 #include "bth/gateway/handoff.h"
 
 #include "bth/gateway/internal/handoff_generated.h"
+#include "bth/shell/response_head.h"
 
 #include <algorithm>
 #include <memory>
@@ -108,6 +109,14 @@
     return out;
 }
 
+// Returns whether the response that another host read may be passed on. An older build reads heads
+// less strictly.
+bool is_relayable(const frames::OutcomeT& from)
+{
+    return shell::is_final_status(from.status) && shell::are_field_lines(from.fields) &&
+           shell::is_length(from.bodyless_length);
+}
+
 std::optional<handoff_message> unpack(const frames::OutcomeT& from)
 {
     const bool known_values =
@@ -136,7 +145,11 @@
         out.result.signals.limit = from.limit_per_s;
     }
     out.result.signals.has_no_limit = from.has_no_limit;
-    if (from.has_answer) {
+    if (from.has_answer && !is_relayable(from)) {
+        out.result.outcome = dispatch::send_outcome::broken;
+        out.result.may_have_run = true;
+    }
+    else if (from.has_answer) {
         out.result.response = caller_response{from.status, from.fields, to_text(from.body),
                                               from.bodyless_length, false};
     }
--- a/bth/gateway/handoff_test.cpp
+++ b/bth/gateway/handoff_test.cpp
@@ -118,6 +118,30 @@
     CHECK_FALSE(decoded.result.response.has_value());
 }
 
+// A host of an earlier build passes on what a target wrote, such as a status of 000.
+TEST(handoff, response_whose_head_is_none_is_a_broken_attempt)
+{
+    handoff_outcome outcome;
+    outcome.result.outcome = bth::dispatch::send_outcome::answered;
+    const auto sent_on = [&](caller_response response) {
+        outcome.result.response = std::move(response);
+        const auto decoded = decode_handoff(encode_handoff(outcome));
+        return std::get<handoff_outcome>(decoded.value()).result;
+    };
+    CHECK_TRUE(sent_on({200, "A: 1\r\n", "body", "", false}).response.has_value());
+    for (const auto& response :
+         {caller_response{0, "A: 1\r\n", "body", "", false}, caller_response{99, "", "", "", false},
+          caller_response{103, "", "", "", false}, caller_response{600, "", "", "", false},
+          caller_response{200, "A b: 1\r\n", "", "", false},
+          caller_response{200, "A: 1\r\n\r\n", "", "", false},
+          caller_response{200, "", "", "2, 2", false}}) {
+        const auto result = sent_on(response);
+        CHECK_FALSE(result.response.has_value());
+        CHECK_TRUE(result.outcome == bth::dispatch::send_outcome::broken);
+        CHECK_TRUE(result.may_have_run);
+    }
+}
+
 TEST(handoff, malformed_bytes_are_rejected)
 {
     CHECK_FALSE(decode_handoff("").has_value());
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -1,7 +1,7 @@
 #include "bth/gateway/target_send.h"
 
-#include "bth/gateway/transfer_codings.h"
 #include "bth/shell/net.h"
+#include "bth/shell/response_head.h"
 
 #include <algorithm>
 #include <charconv>
@@ -36,8 +36,6 @@
 // Maximum number of responses to earlier requests that are skipped on a connection. If one more
 // arrives, the attempt fails and the connection is closed.
 constexpr int max_stale_responses = 3;
-// Maximum number of interim responses (1xx) before a final one.
-constexpr int max_interim_responses = 16;
 
 std::string_view view(boost::beast::string_view text)
 {
@@ -157,14 +155,12 @@
 }
 
 // Returns whether a success (2xx) is the complete response of the target itself: it has the receipt
-// and neither a content encoding nor a transfer coding beside "chunked". Other responses are not
-// checked.
+// and no content encoding. Other responses are not checked.
 bool is_intact(const target_response& response, const field_names& names)
 {
     const bool success = response.result_int() / 100 == 2;
     return !success || (response.find(names.receipt) != response.end() &&
-                        response.find(http::field::content_encoding) == response.end() &&
-                        transfer_codings_of(response) == transfer_codings::readable);
+                        response.find(http::field::content_encoding) == response.end());
 }
 
 target_signals signals_of(const target_response& response, const field_names& names)
@@ -239,14 +235,15 @@
            error.category() != make_error_code(http::error::end_of_stream).category();
 }
 
-// Reads one response. Returns an error also if all responses together take too much memory.
+// Reads one response. Returns an error also if its head isn't that of a response, as soon as that
+// was read, and if all responses together take too much memory.
 asio::awaitable<boost::system::error_code>
 read_one(target_connection& connection, http::response_parser<http::string_body>& parser,
          shell::receive_budget::share& memory, std::size_t max_body_bytes)
 {
     parser.body_limit(max_body_bytes);
+    auto error = co_await shell::read_response_head(connection.socket, connection.buffer, parser);
     parser.eager(true);
-    boost::system::error_code error;
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(connection.socket, connection.buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
@@ -267,7 +264,8 @@
     const bool is_first = !std::exchange(connection.is_used, true);
     int stale_responses = 0;
     int interim_responses = 0;
-    while (stale_responses <= max_stale_responses && interim_responses <= max_interim_responses) {
+    while (stale_responses <= max_stale_responses &&
+           interim_responses <= shell::max_interim_responses) {
         http::response_parser<http::string_body> parser;
         parser.skip(request.is_head);
         shell::receive_budget::share memory{budget};
@@ -275,16 +273,14 @@
         if (error) {
             partial.is_too_long = is_length_error(error);
             partial.is_connection_lost = is_connection_error(error);
-            if (parser.is_header_done() && matches_request(parser.get(), request, is_first)) {
+            // What a head that is none says doesn't count.
+            if (parser.is_header_done() && !shell::check_response_head(parser.get().base()) &&
+                matches_request(parser.get(), request, is_first)) {
                 partial.signals = signals_of(parser.get(), *request.header_names);
             }
             co_return std::nullopt;
         }
-        if (parser.get().result() == http::status::switching_protocols) {
-            // No request asks for that, so that what follows can't be read.
-            co_return std::nullopt;
-        }
-        if (parser.get().result_int() / 100 == 1) {
+        if (shell::is_interim(parser.get().base())) {
             ++interim_responses;
             continue;
         }
--- a/bth/shell/simple_http.cpp
+++ b/bth/shell/simple_http.cpp
@@ -1,6 +1,7 @@
 #include "bth/shell/simple_http.h"
 
 #include "bth/shell/net.h"
+#include "bth/shell/response_head.h"
 
 #include <utility>
 
@@ -178,14 +179,24 @@
         co_return fail("send to", true);
     }
     beast::flat_buffer buffer{max_unparsed_bytes};
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_body_bytes);
-    co_await http::async_read(stream, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        co_return fail("read the answer of", true);
+    for (int interim = 0; interim <= max_interim_responses; ++interim) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(max_body_bytes);
+        error = co_await read_response_head(stream, buffer, parser);
+        const bool is_final = !error && !is_interim(parser.get().base());
+        if (is_final) {
+            co_await http::async_read(stream, buffer, parser,
+                                      asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (error) {
+            co_return fail("read the answer of", true);
+        }
+        if (is_final) {
+            co_return parser.release();
+        }
     }
-    co_return parser.release();
+    error = http::error::bad_status;
+    co_return fail("read the answer of", true);
 }
 
 asio::awaitable<tl::expected<http_response, std::string>>
--- a/bth/gateway/transfer_codings.h
+++ b/bth/shell/transfer_codings.h
@@ -14,7 +14,7 @@
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
-namespace bth::gateway {
+namespace bth::shell {
 
 enum class transfer_codings : std::uint8_t {
     // None, or "chunked" alone.
@@ -52,4 +52,4 @@
     return codings == 1 ? transfer_codings::readable : transfer_codings::unknown;
 }
 
-} // namespace bth::gateway
+} // namespace bth::shell
--- a/bth/gateway/transfer_codings_test.cpp
+++ b/bth/shell/transfer_codings_test.cpp
@@ -1,4 +1,4 @@
-#include "bth/gateway/transfer_codings.h"
+#include "bth/shell/transfer_codings.h"
 
 #include <initializer_list>
 
@@ -6,7 +6,7 @@
 
 namespace {
 
-using bth::gateway::transfer_codings;
+using bth::shell::transfer_codings;
 
 transfer_codings codings_of(std::initializer_list<const char*> values)
 {
@@ -14,7 +14,7 @@
     for (const auto* each : values) {
         message.insert(boost::beast::http::field::transfer_encoding, each);
     }
-    return bth::gateway::transfer_codings_of(message);
+    return bth::shell::transfer_codings_of(message);
 }
 
 } // namespace
--- a/process_tests/entry_faults_test.py
+++ b/process_tests/entry_faults_test.py
@@ -84,6 +84,41 @@
         self.listener.close()
 
 
+class ScriptedTarget:
+    """A target that answers a request for /item/N with the Nth of `answers`, once that is asked for, and keeps its connections."""
+
+    def __init__(self, where, answers):
+        host, port = where.rsplit(":", 1)
+        self.answers, self.asked = answers, set()
+        self.listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self.accept_all, daemon=True).start()
+
+    def accept_all(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        with connection, connection.makefile("rb") as reader, contextlib.suppress(OSError):
+            while line := reader.readline():
+                while reader.readline() not in (b"\r\n", b""):
+                    pass
+                path = line.split()[1].decode()
+                body = b'{"in_flight":0,"slots":3,"leaving":false}'
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+                if path != "/load":
+                    number = int(path.rsplit("/", 1)[1])
+                    self.asked.add(number)
+                    answer = self.answers[number]
+                connection.sendall(answer)
+
+    def close(self):
+        self.listener.close()
+
+
 class EntryFaultsTest(entry_case.EntryCase):
     def connection(self, row=0):
         host, port = self.site["hosts"][row]["http"].rsplit(":", 1)
@@ -167,6 +202,40 @@
         target.close()
         self.assertEqual(wrong[:3], [])
 
+    def answers_of(self, scripted):
+        """What callers get for each of these answers of a target."""
+        self.start_site()
+        for each in self.targets:
+            each.kill()
+        target = ScriptedTarget(self.site["targets"][0]["http"], scripted)
+        self.addCleanup(target.close)
+        got = []
+        for number in range(len(scripted)):
+            def ask(number=number):
+                answer = self.call(0, f"/item/{number}", "POST")
+                return answer if number in target.asked else None
+            got.append(self.until(ask, f"the target is asked for answer {number}"))
+        return got
+
+    def test_an_answer_whose_head_is_none_reaches_no_caller(self):
+        end = b"Content-Length: 5\r\n\r\nwrong"
+        forged = [b"HTTP/1.1 " + status + b" -\r\n" + end for status in (b"000", b"099", b"600", b"999")]
+        forged += [b"HTTP/1.1 200 OK\r\n" + line + b"\r\n" + end
+                   for line in (b"X Name: 1", b"X-Name : 1", b" X-Name: 1", b"X-\x01Name: 1", b"X-Name\x7f: 1", b"X-Name: \x02",
+                                b"Transfer-Encoding: gzip")]
+        forged += [b"HTTP/1.1 200 OK\r\nContent-Length: 5, 5\r\n\r\nwrong",
+                   b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+                   b"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + end]
+        for answer, (status, fields, text) in zip(forged, self.answers_of(forged)):
+            self.assertEqual((status, fields.get("bth-run")), (502, "unknown"), answer)
+            self.assertNotIn(b"wrong", text, answer)
+
+    def test_an_interim_answer_is_not_taken_for_the_final_one(self):
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright"
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        answers = self.answers_of([interim + whole, b"HTTP/1.1 100 Continue\r\n\r\n" + interim + whole])
+        self.assertEqual([(status, text) for status, _, text in answers], [(200, b"right")] * 2)
+
     def refused_by_target(self):
         answer = self.call(0, "/item/endless", "POST")
         self.assertNotEqual(answer[0], 200, answer)
