Keep fields behind a chunked body out of the head of an answer

A request that had run was reported as one that had not, so that a payment could run twice, if its target wrote a field X-Buckthornhatch-Not-Executed behind the last chunk; a body without the target's receipt counted as a success if the receipt stood there.

Cause: Beast's parser adds trailer fields to the head (RFC 9110, 6.5.1 forbids to merge them unknown), and the head was judged behind the body. The head of a chunked answer is now kept as it was read. bth-entry passed such fields on behind an empty body.

--- a/bth/entry/target_attempt.h
+++ b/bth/entry/target_attempt.h
@@ -235,8 +235,10 @@
 
     boost::asio::awaitable<bool> relay_response()
     {
+        // The parser adds the fields behind the last chunk to the head.
+        response_head head = this->parser->get().base();
         const body_chunk first = co_await this->read_chunk();
-        response_start start{this->parser->get().base(), std::nullopt, first};
+        response_start start{std::move(head), std::nullopt, first};
         if (start.first.failed) {
             co_return false;
         }
--- a/bth/gateway/faulty_target_test.cpp
+++ b/bth/gateway/faulty_target_test.cpp
@@ -347,6 +347,24 @@
     CHECK_TRUE(std::chrono::steady_clock::now() - started_at < 4s);
 }
 
+// A field behind the last chunk made a request that had run one that had not, and a body without
+// the target's receipt a success.
+TEST(faulty_target, field_behind_the_body_is_no_part_of_the_head)
+{
+    const std::string body = "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+    const auto ran = send_in_turn({"1"}, {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Receipt: r\r\n" + body +
+                                          "X-Not-Run: 1\r\nX-Late: 1\r\n\r\n"})
+                         .results.front();
+    CHECK_TRUE(ran.outcome == send_outcome::answered);
+    CHECK_TRUE(ran.may_have_run);
+    STRCMP_EQUAL("X-Id: 1\r\nX-Receipt: r\r\n", ran.response->header_lines.c_str());
+    STRCMP_EQUAL("body", ran.response->body.c_str());
+    const auto without_receipt =
+        send_in_turn({"1"}, {"HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + body + "X-Receipt: r\r\n\r\n"})
+            .results.front();
+    CHECK_TRUE(without_receipt.outcome == send_outcome::broken);
+}
+
 TEST(faulty_target, success_with_an_unknown_transfer_coding_is_no_answer)
 {
     const auto seen = send_in_turn(
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -236,13 +236,18 @@
 }
 
 // Reads one response. Returns an error also if its head isn't that of a response, as soon as that
-// was read, and if all responses together take too much memory.
+// was read, and if all responses together take too much memory. Stores the head of a chunked
+// response, to which the parser adds the fields behind the last chunk.
 asio::awaitable<boost::system::error_code>
 read_one(target_connection& connection, http::response_parser<http::string_body>& parser,
-         shell::receive_budget::share& memory, std::size_t max_body_bytes)
+         std::optional<http::response_header<>>& chunked_head, shell::receive_budget::share& memory,
+         std::size_t max_body_bytes)
 {
     parser.body_limit(max_body_bytes);
     auto error = co_await shell::read_response_head(connection.socket, connection.buffer, parser);
+    if (!error && parser.chunked()) {
+        chunked_head = parser.get().base();
+    }
     parser.eager(true);
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(connection.socket, connection.buffer, parser,
@@ -269,7 +274,9 @@
         http::response_parser<http::string_body> parser;
         parser.skip(request.is_head);
         shell::receive_budget::share memory{budget};
-        const auto error = co_await read_one(connection, parser, memory, budget.limits().shared);
+        std::optional<http::response_header<>> chunked_head;
+        const auto error =
+            co_await read_one(connection, parser, chunked_head, memory, budget.limits().shared);
         if (error) {
             partial.is_too_long = is_length_error(error);
             partial.is_connection_lost = is_connection_error(error);
@@ -286,6 +293,9 @@
         }
         reusable = reusable && parser.keep_alive() && !parser.need_eof();
         auto response = parser.release();
+        if (chunked_head) {
+            response.base() = std::move(*chunked_head);
+        }
         if (matches_request(response, request, is_first)) {
             reusable = reusable && connection.buffer.size() == 0;
             co_return response;
--- a/process_tests/entry_faults_test.py
+++ b/process_tests/entry_faults_test.py
@@ -236,6 +236,13 @@
         answers = self.answers_of([interim + whole, b"HTTP/1.1 100 Continue\r\n\r\n" + interim + whole])
         self.assertEqual([(status, text) for status, _, text in answers], [(200, b"right")] * 2)
 
+    def test_a_field_behind_the_body_is_no_part_of_the_head(self):
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        end = b"0\r\nX-Late: 1\r\n\r\n"
+        got = self.answers_of([start + end, start + b"5\r\nright\r\n" + end])
+        self.assertEqual([(status, fields.get("x-late"), text) for status, fields, text in got],
+                         [(200, None, b""), (200, None, b"right")])
+
     def refused_by_target(self):
         answer = self.call(0, "/item/endless", "POST")
         self.assertNotEqual(answer[0], 200, answer)
