Record the failure domains of control hosts with the members of the group

Cause: the leader takes out a silent voter if a connected voter stands for its failure domain, but knew domains only from running hosts. After all were killed nobody knew the domain of one that stayed away, so that it stayed a voter for ever.

Older builds pass over the new fields.

--- a/bth/consensus/codec.cpp
+++ b/bth/consensus/codec.cpp
@@ -53,11 +53,18 @@
 {
     std::vector<fb::Offset<frames::member>> voters;
     std::vector<fb::Offset<frames::member>> learners;
+    const auto write_with_domain = [&](const member_id& member) {
+        const auto domain = members.domains.find(member.host);
+        const auto host_name = out.CreateString(member.host);
+        const auto domain_name =
+            domain == members.domains.end() ? 0 : out.CreateString(domain->second);
+        return frames::Createmember(out, host_name, member.life.value(), domain_name);
+    };
     for (const auto& voter : members.voters) {
-        voters.push_back(write(out, voter));
+        voters.push_back(write_with_domain(voter));
     }
     for (const auto& learner : members.learners) {
-        learners.push_back(write(out, learner));
+        learners.push_back(write_with_domain(learner));
     }
     return frames::Createmember_setDirect(out, &voters, &learners);
 }
@@ -68,9 +75,13 @@
     if (members == nullptr) {
         return read_set;
     }
-    const auto copy = [](const auto* from, std::vector<member_id>& to) {
+    const auto copy = [&read_set](const auto* from, std::vector<member_id>& to) {
         for (fb::uoffset_t i = 0; from != nullptr && i < from->size(); ++i) {
-            to.push_back(read(*from->Get(i)));
+            const auto& member = *from->Get(i);
+            to.push_back(read(member));
+            if (member.domain() != nullptr) {
+                read_set.domains.insert_or_assign(member.host()->str(), member.domain()->str());
+            }
         }
     };
     copy(members->voters(), read_set.voters);
@@ -171,7 +182,8 @@
     fb::Offset<void> operator()(const join_request& m) const
     {
         const auto applicant = m.applicant ? write(*this->out, *m.applicant) : 0;
-        return frames::Createjoin_request(*this->out, applicant).Union();
+        const auto domain = m.domain.empty() ? 0 : this->out->CreateString(m.domain);
+        return frames::Createjoin_request(*this->out, applicant, domain).Union();
     }
 
 private:
@@ -227,7 +239,8 @@
     }
     if (const auto* joining = root.body_as_join_request()) {
         const auto* applicant = joining->applicant();
-        return join_request{applicant == nullptr ? std::nullopt : std::optional{read(*applicant)}};
+        return join_request{applicant == nullptr ? std::nullopt : std::optional{read(*applicant)},
+                            joining->domain() == nullptr ? "" : joining->domain()->str()};
     }
     return std::nullopt;
 }
--- a/bth/consensus/codec_test.cpp
+++ b/bth/consensus/codec_test.cpp
@@ -11,7 +11,7 @@
 
 const member_id host_a{"a", bth::incarnation{1}};
 const member_id host_b{"b", bth::incarnation{77}};
-const configuration both{{host_a, host_b}, {{"c", bth::incarnation{3}}}};
+const configuration both{{host_a, host_b}, {{"c", bth::incarnation{3}}}, {{"a", "x"}, {"c", "z"}}};
 const leader_stamp stamp{5, bth::time_point{bth::duration{123456}}};
 const std::vector<log_entry> entries{
     {{4}, term_number{2}, entry_kind::command, std::string{"x\0y", 3}, {}},
@@ -27,7 +27,8 @@
             {host_a, host_b, snapshot_request{term, stamp, {3}, term, both, 10, 4, "data"}},
             {host_a, host_b, snapshot_answer{term, stamp, {3}, 8}},
             {host_a, host_b, join_request{}},
-            {host_a, host_b, join_request{host_b}}};
+            {host_a, host_b, join_request{host_b}},
+            {host_a, host_b, join_request{host_b, "y"}}};
 }
 
 } // namespace
--- a/bth/consensus/internal/consensus_generated.h
+++ b/bth/consensus/internal/consensus_generated.h
@@ -175,7 +175,8 @@
   typedef memberBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_HOST = 4,
-    VT_LIFE = 6
+    VT_LIFE = 6,
+    VT_DOMAIN = 8
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -183,11 +184,16 @@
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
   }
+  const flatbuffers::String *domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOST) &&
            verifier.VerifyString(host()) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
+           VerifyOffset(verifier, VT_DOMAIN) &&
+           verifier.VerifyString(domain()) &&
            verifier.EndTable();
   }
 };
@@ -202,6 +208,9 @@
   void add_life(uint64_t life) {
     fbb_.AddElement<uint64_t>(member::VT_LIFE, life, 0);
   }
+  void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
+    fbb_.AddOffset(member::VT_DOMAIN, domain);
+  }
   explicit memberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -217,9 +226,11 @@
 inline flatbuffers::Offset<member> Createmember(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> host = 0,
-    uint64_t life = 0) {
+    uint64_t life = 0,
+    flatbuffers::Offset<flatbuffers::String> domain = 0) {
   memberBuilder builder_(_fbb);
   builder_.add_life(life);
+  builder_.add_domain(domain);
   builder_.add_host(host);
   return builder_.Finish();
 }
@@ -227,12 +238,15 @@
 inline flatbuffers::Offset<member> CreatememberDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *host = nullptr,
-    uint64_t life = 0) {
+    uint64_t life = 0,
+    const char *domain = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   return bth::consensus::frames::Createmember(
       _fbb,
       host__,
-      life);
+      life,
+      domain__);
 }
 
 struct member_set FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1214,15 +1228,21 @@
 struct join_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef join_requestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_APPLICANT = 4
+    VT_APPLICANT = 4,
+    VT_DOMAIN = 6
   };
   const bth::consensus::frames::member *applicant() const {
     return GetPointer<const bth::consensus::frames::member *>(VT_APPLICANT);
   }
+  const flatbuffers::String *domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_APPLICANT) &&
            verifier.VerifyTable(applicant()) &&
+           VerifyOffset(verifier, VT_DOMAIN) &&
+           verifier.VerifyString(domain()) &&
            verifier.EndTable();
   }
 };
@@ -1234,6 +1254,9 @@
   void add_applicant(flatbuffers::Offset<bth::consensus::frames::member> applicant) {
     fbb_.AddOffset(join_request::VT_APPLICANT, applicant);
   }
+  void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
+    fbb_.AddOffset(join_request::VT_DOMAIN, domain);
+  }
   explicit join_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1247,12 +1270,25 @@
 
 inline flatbuffers::Offset<join_request> Createjoin_request(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<bth::consensus::frames::member> applicant = 0) {
+    flatbuffers::Offset<bth::consensus::frames::member> applicant = 0,
+    flatbuffers::Offset<flatbuffers::String> domain = 0) {
   join_requestBuilder builder_(_fbb);
+  builder_.add_domain(domain);
   builder_.add_applicant(applicant);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<join_request> Createjoin_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<bth::consensus::frames::member> applicant = 0,
+    const char *domain = nullptr) {
+  auto domain__ = domain ? _fbb.CreateString(domain) : 0;
+  return bth::consensus::frames::Createjoin_request(
+      _fbb,
+      applicant,
+      domain__);
+}
+
 struct envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef envelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/bth/consensus/member.h
+++ b/bth/consensus/member.h
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <concepts>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -102,6 +103,11 @@
     {
         this->run(now, [&] { this->core.remove_member(now, token, host); });
     }
+    void record_domains(time_point now, request_token token,
+                        const std::map<std::string, std::string>& domains)
+    {
+        this->run(now, [&] { this->core.record_domains(now, token, domains); });
+    }
 
     std::vector<envelope> take_messages() { return std::exchange(this->messages, {}); }
     std::vector<result> take_results() { return std::exchange(this->results, {}); }
--- a/bth/consensus/messages.h
+++ b/bth/consensus/messages.h
@@ -77,6 +77,8 @@
 // `applicant`; a seed that follows a leader passes it on with the applicant's name.
 struct join_request {
     std::optional<member_id> applicant;
+    // The applicant's failure domain; empty if it isn't stated.
+    std::string domain{};
 };
 
 using message = std::variant<vote_request, vote_answer, append_request, append_answer,
--- a/bth/consensus/replica.h
+++ b/bth/consensus/replica.h
@@ -19,6 +19,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -49,6 +50,8 @@
     std::uint64_t retained_entries{1024};
     // The hosts that a replica asks to be let in.
     std::vector<std::string> seeds;
+    // The failure domain of this host; empty if it isn't to be recorded.
+    std::string domain{};
 };
 
 // What storage held when the replica started.
@@ -152,6 +155,9 @@
     // Lets in the applicant on `host` as a learner, which becomes a voter once it has caught up.
     void add_member(time_point now, request_token token, const std::string& host);
     void remove_member(time_point now, request_token token, const std::string& host);
+    // Records the failure domains of members, by host. The members stay the same.
+    void record_domains(time_point now, request_token token,
+                        const std::map<std::string, std::string>& domains);
 
     // The durable part of the last output has been synced.
     void persisted(time_point now);
@@ -181,6 +187,7 @@
     struct applicant {
         member_id member;
         time_point heard;
+        std::string domain;
     };
 
     // replica.cpp
@@ -235,6 +242,7 @@
     void change_members(time_point now, configuration next, std::optional<request_token> token);
     void admit(time_point now);
     bool readmit_applicant(time_point now);
+    static void add_learner(configuration& members, const applicant& added);
     void promote_learner(time_point now);
     void leave_if_removed(time_point now);
 
--- a/bth/consensus/replica_membership.cpp
+++ b/bth/consensus/replica_membership.cpp
@@ -23,6 +23,7 @@
 {
     erase_host(members.voters, host);
     erase_host(members.learners, host);
+    members.domains.erase(host);
     return members;
 }
 
@@ -35,7 +36,7 @@
 {
     if (this->role != replica_role::leader) {
         if (this->leader && !request.applicant && this->leader->host != from.host) {
-            this->send(*this->leader, join_request{from});
+            this->send(*this->leader, join_request{from, request.domain});
         }
         return;
     }
@@ -53,7 +54,7 @@
     }
     std::erase_if(this->applicants,
                   [&](const auto& row) { return row.member.host == applicant_id.host; });
-    this->applicants.push_back({applicant_id, now});
+    this->applicants.push_back({applicant_id, now, request.domain});
 }
 
 // A replica that isn't in the configuration it knows, and hears no leader, asks every seed. One
@@ -68,7 +69,7 @@
     this->join_due = now + this->options.heartbeat;
     for (const auto& host : this->options.seeds) {
         if (host != this->self.host) {
-            this->send({host, any_incarnation}, join_request{});
+            this->send({host, any_incarnation}, join_request{std::nullopt, this->options.domain});
         }
     }
 }
@@ -146,7 +147,7 @@
         return;
     }
     auto next = without_host(this->log.members(), host);
-    next.learners.push_back(known->member);
+    add_learner(next, *known);
     this->change_members(now, std::move(next), token);
 }
 
@@ -167,6 +168,37 @@
     this->change_members(now, next, token);
 }
 
+void replica::record_domains(time_point now, request_token token,
+                             const std::map<std::string, std::string>& domains)
+{
+    if (!this->ready_for_requests(now, token)) {
+        return;
+    }
+    auto next = this->log.members();
+    for (const auto& [host, domain] : domains) {
+        if (member_on(next, host)) {
+            next.domains.insert_or_assign(host, domain);
+        }
+    }
+    if (next == this->log.members()) {
+        this->answer(token, request_outcome::bad_member);
+        return;
+    }
+    if (this->change_pending()) {
+        this->answer(token, request_outcome::busy);
+        return;
+    }
+    this->change_members(now, std::move(next), token);
+}
+
+void replica::add_learner(configuration& members, const applicant& added)
+{
+    members.learners.push_back(added.member);
+    if (!added.domain.empty()) {
+        members.domains.insert_or_assign(added.member.host, added.domain);
+    }
+}
+
 void replica::admit(time_point now)
 {
     std::erase_if(this->applicants, [&](const auto& row) {
@@ -194,7 +226,7 @@
         if (!this->reaches_quorum(now, next)) {
             continue;
         }
-        next.learners.push_back(row.member);
+        add_learner(next, row);
         this->change_members(now, std::move(next), std::nullopt);
         return true;
     }
--- a/bth/consensus/replica_test.cpp
+++ b/bth/consensus/replica_test.cpp
@@ -1,6 +1,7 @@
 #include "bth/consensus/replica.h"
 
 #include <deque>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -260,3 +261,45 @@
     CHECK_FALSE(votes_at(heard + options.vote_silence - 1ms));
     CHECK_TRUE(votes_at(heard + options.vote_silence));
 }
+
+// Nobody has heard a host that doesn't come back after all were killed: only the log tells where it
+// was.
+TEST(replica, domains_of_members_are_in_the_log_of_each)
+{
+    small_group group{{"a", "b", "c"}};
+    group.run(2s);
+    const std::map<std::string, std::string> domains{{"a", "x"}, {"c", "z"}};
+    group.leader()->record_domains(group.now, request_token{1},
+                                   {{"a", "x"}, {"c", "z"}, {"q", "w"}});
+    group.run(1s);
+    for (const auto& each : group.replicas) {
+        CHECK_TRUE(each.status(group.now).members.domains == domains);
+    }
+    UNSIGNED_LONGS_EQUAL(3, group.leader()->status(group.now).members.voters.size());
+    group.leader()->record_domains(group.now, request_token{2}, domains);
+    group.settle();
+    CHECK_TRUE(group.answers.back().outcome == request_outcome::bad_member);
+    const std::string removed = group.leader()->status(group.now).self.host == "c" ? "a" : "c";
+    group.leader()->remove_member(group.now, request_token{3}, removed);
+    group.run(1s);
+    CHECK_FALSE(group.leader()->status(group.now).members.domains.contains(removed));
+}
+
+TEST(replica, applicant_is_let_in_with_its_domain)
+{
+    small_group group{{"a", "b", "c"}};
+    group.run(2s);
+    const member_id newcomer{"d", bth::incarnation{9}};
+    // Every member but the leader passes it on.
+    for (auto& each : group.replicas) {
+        each.receive(group.now, {newcomer,
+                                 {each.status(group.now).self.host, any_incarnation},
+                                 join_request{std::nullopt, "w"}});
+    }
+    group.settle();
+    group.leader()->add_member(group.now, request_token{1}, "d");
+    group.settle();
+    const auto members = group.leader()->status(group.now).members;
+    CHECK_TRUE(is_learner(members, newcomer));
+    STRCMP_EQUAL("w", members.domains.at("d").c_str());
+}
--- a/bth/consensus/types.h
+++ b/bth/consensus/types.h
@@ -10,6 +10,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -59,6 +60,9 @@
 struct configuration {
     std::vector<member_id> voters;
     std::vector<member_id> learners;
+    // The failure domains of members, by host, as far as they are recorded. No rule of the protocol
+    // depends on them.
+    std::map<std::string, std::string> domains{};
     friend bool operator==(const configuration&, const configuration&) = default;
 };
 
--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -19,9 +19,6 @@
 
 // Interval at which the host updates its tables and sends the messages that are due.
 constexpr std::chrono::milliseconds housekeeping_interval{100};
-// A voter that has been disconnected for this long counts as replaced if another control host in
-// its failure domain is a connected voter.
-constexpr std::chrono::seconds replaced_voter_timeout{6};
 
 // Timing with which a lost leader is replaced within a second, so that leaving targets are known
 // and changes are acknowledged in time. Messages between regions take 20 ms, a disk sync 1 ms. More
@@ -46,6 +43,7 @@
     out.member.host = name;
     out.member.fresh_life = incarnation_number;
     out.member.replica = consensus_options();
+    out.member.replica.domain = settings.domain;
     out.member.seed = incarnation_number.value() ^ settings.address.bits;
     bool is_seed = false;
     for (const auto& each : settings.seeds) {
@@ -61,6 +59,15 @@
     return out;
 }
 
+std::set<std::string> domains_of(const dispatch::domain_regions& regions)
+{
+    std::set<std::string> out;
+    for (const auto& [domain, region] : regions) {
+        out.insert(domain);
+    }
+    return out;
+}
+
 } // namespace
 
 tl::expected<std::shared_ptr<control_host>, std::string>
@@ -86,7 +93,7 @@
           context.get_executor(), shell::peer_link_settings{this->name, incarnation_number})},
       timer{context}, registry{this->settings.regions}, lookup_turn{this->settings.address.bits},
       attached{this->name, this->settings.domain, this->settings.regions},
-      demand{this->settings.allowance_terms}
+      roster{domains_of(this->settings.regions)}, demand{this->settings.allowance_terms}
 {
     this->control_domains[this->name] = this->settings.domain;
 }
@@ -224,6 +231,7 @@
         now - this->catalog.read_at(),
         !this->group->failure().has_value(),
         this->is_leader ? duration{} : now - this->group->status().heard_leader,
+        this->group->status().members.voters.size(),
         this->demand.pressures(now).value_or(std::vector<dispatch::customer_pressure>{}).size()};
 }
 
@@ -487,47 +495,41 @@
     this->link->set_peers(addresses);
 }
 
-// If this host is the leader: adds control hosts that apply for membership, one at a time, and
-// removes those that they replaced.
+// If this host is the leader: adds control hosts that apply for membership, one at a time, records
+// where members are, and removes those that were replaced.
 void control_host::update_membership(const consensus::replica_status& group_status, time_point now)
 {
     if (!this->is_leader) {
-        this->voter_last_connected.clear();
+        this->roster.reset();
         return;
     }
+    const auto& members = group_status.members;
+    this->roster.record_contact(now, members, [this](const std::string& host) {
+        return host == this->name || this->link->connected(host);
+    });
     for (const auto& each : group_status.applicants) {
-        if (!member_on(group_status.members, each.host)) {
+        if (!member_on(members, each.host)) {
             this->events->write(shell::event{"control_host_admitted"}.with("host", each.host));
             this->group->add_member(each.host);
             return;
         }
     }
-    for (const auto& voter : group_status.members.voters) {
-        auto& last_connected =
-            this->voter_last_connected.try_emplace(voter.host, now).first->second;
-        if (voter.host == this->name || this->link->connected(voter.host)) {
-            last_connected = now;
-        }
-        const bool disconnected = now - last_connected > replaced_voter_timeout;
-        const auto domain = this->control_domains.find(voter.host);
-        if (!disconnected || domain == this->control_domains.end()) {
-            continue;
-        }
-        const bool replaced = std::any_of(
-            group_status.members.voters.begin(), group_status.members.voters.end(),
-            [&](const auto& other_voter) {
-                const auto other_domain = this->control_domains.find(other_voter.host);
-                return other_voter.host != voter.host &&
-                       other_domain != this->control_domains.end() &&
-                       other_domain->second == domain->second &&
-                       (other_voter.host == this->name || this->link->connected(other_voter.host));
-            });
-        if (replaced) {
-            this->events->write(shell::event{"control_host_removed"}.with("host", voter.host));
-            this->group->remove_member(voter.host);
-            this->voter_last_connected.erase(voter.host);
-            return;
-        }
+    const auto unrecorded = unrecorded_domains(members, this->control_domains);
+    if (!unrecorded.empty()) {
+        this->events->write(
+            shell::event{"control_host_domains"}.with("recorded", unrecorded.size()));
+        this->group->record_domains(unrecorded);
+        return;
+    }
+    if (const auto host = this->roster.find_replaced(now, members)) {
+        const auto domain = members.domains.find(*host);
+        this->events->write(
+            shell::event{"control_host_removed"}
+                .with("host", *host)
+                .with("domain", domain == members.domains.end() ? "unknown" : domain->second)
+                .with("voters", members.voters.size()));
+        this->group->remove_member(*host);
+        this->roster.forget(*host);
     }
 }
 
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -17,6 +17,7 @@
 #include "bth/fleet/catalog.h"
 #include "bth/fleet/group_driver.h"
 #include "bth/fleet/list_reading.h"
+#include "bth/fleet/member_roster.h"
 #include "bth/fleet/messages.h"
 #include "bth/fleet/registry.h"
 #include "bth/fleet/relay_schedule.h"
@@ -127,6 +128,8 @@
         bool group_running{};
         // Age of the last message of the leader; zero while this host is the leader.
         duration leader_heard_age{};
+        // The control hosts that count towards the majority, those that are down included.
+        std::size_t voters{};
         // The customers that press against their allowance, as far as this host knows.
         std::size_t pressing_customers{};
     };
@@ -192,12 +195,12 @@
     // Counts the answers to look-ups, from a number that differs between hosts.
     std::size_t lookup_turn;
     attachment_table attached;
-    // The failure domain of each control host that sent a relay, and of this one.
+    // The failure domain of each control host that sent a relay since this one started, and of this
+    // one. The group's own record of its members outlives restarts.
     std::map<std::string, std::string> control_domains;
+    member_roster roster;
     // The other control hosts to stay connected to.
     std::set<std::string> peer_names;
-    // When each voter was last connected; empty unless this host is the leader.
-    std::map<std::string, time_point> voter_last_connected;
     // The index of the agreed state that was last written to the event log.
     agreed_index logged_index;
     std::optional<std::string> leader;
--- a/bth/fleet/group_driver.h
+++ b/bth/fleet/group_driver.h
@@ -113,6 +113,11 @@
         this->member.remove_member(shell::monotonic_now(), this->make_token(), host);
         this->flush();
     }
+    void record_domains(const std::map<std::string, std::string>& domains)
+    {
+        this->member.record_domains(shell::monotonic_now(), this->make_token(), domains);
+        this->flush();
+    }
 
     const Machine& machine() const { return this->member.state(); }
     consensus::replica_status status() const { return this->member.status(shell::monotonic_now()); }
