Start the split of a route anew when its parts change

Cause: a split counts what it owes to each service in units of the weights, and kept these counts by the route's name while the number of its parts stayed the same. A count of 500 outweighs a weight of 1 for 500 requests.

A split is now made for its parts, and route_splits makes a new one if they changed in any way when a configuration comes into force. A route whose parts stay goes on where it was, so that a small share gets its requests under frequent changes of other routes. Splits of routes that are gone are dropped.

--- a/bth/gateway/caller_response_test.cpp
+++ b/bth/gateway/caller_response_test.cpp
@@ -1,10 +1,8 @@
 #include "bth/gateway/caller_response.h"
 
-#include "bth/gateway/split.h"
 #include "bth/gateway/stop_plan.h"
 
 #include <chrono>
-#include <map>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -82,29 +80,6 @@
                         "Connection: close\r\n"));
 }
 
-TEST_GROUP(weighted_split){};
-
-TEST(weighted_split, each_window_of_requests_matches_the_weights)
-{
-    weighted_split split;
-    const std::vector<bth::route::service_share> parts{{"old", 90}, {"new", 10}};
-    std::map<std::string, int> counts;
-    for (int request = 0; request < 100; ++request) {
-        ++counts[split.next(parts)];
-    }
-    LONGS_EQUAL(90, counts["old"]);
-    LONGS_EQUAL(10, counts["new"]);
-}
-
-TEST(weighted_split, service_with_zero_weight_gets_no_request)
-{
-    weighted_split split;
-    const std::vector<bth::route::service_share> parts{{"off", 0}, {"on", 5}};
-    for (int request = 0; request < 10; ++request) {
-        STRCMP_EQUAL("on", split.next(parts).c_str());
-    }
-}
-
 TEST_GROUP(stop_plan){};
 
 // Guards against a host that stops accepting requests while callers still send to it. Some callers
--- a/bth/gateway/gateway.cpp
+++ b/bth/gateway/gateway.cpp
@@ -192,6 +192,7 @@
             std::exchange(configuration->customers, std::nullopt), this->key_secret};
         this->allowances.set_limits(fleet::limits_of(this->customers.customers()));
         this->metrics.set_customers(this->customers.customers());
+        this->splits.set_routes(configuration->routes);
         this->routes = route::route_table{std::move(*configuration)};
         this->events->write(shell::event{"configuration"}
                                 .with("version", this->version.value())
@@ -400,7 +401,7 @@
     if (auto refused = this->identify_customer(state)) {
         co_return std::move(*refused);
     }
-    state.service = this->splits[matched_route->name].next(matched_route->split);
+    state.service = this->splits.next(matched_route->name);
     const auto object = view(request->message[this->header_names.object]);
     // Keys stay out of what is logged and told to other hosts, even as a part of a hash.
     std::string_view credentials = view(request->message[http::field::authorization]);
--- a/bth/gateway/gateway.h
+++ b/bth/gateway/gateway.h
@@ -417,7 +417,7 @@
     dispatch::network_delays delays;
     target_connection_pool connections;
     shell::receive_budget request_budget;
-    std::map<std::string, weighted_split> splits;
+    route_splits splits;
     std::map<std::string, dispatch::service_time_estimate> work_estimates;
     std::map<std::string, dispatch::retry_window> retry_windows;
     std::map<std::string, dispatch::rate_limited_share> remote_shares;
--- a/bth/route/model.h
+++ b/bth/route/model.h
@@ -35,6 +35,7 @@
 struct service_share {
     std::string service;
     double weight{};
+    friend bool operator==(const service_share&, const service_share&) = default;
 };
 
 struct route {
