Reset the connection of a request that is given up

Cause: a send that was given up ended with a plain close, after which the kernel goes on sending what the target hasn't acknowledged; behind a cut that is seconds later. It ends with a reset now, which discards these bytes: at the deadline, when the caller leaves, when another attempt was faster, at the exit, and after bytes that are no answer, in both kinds of entry host. A connection whose request was answered is closed as before.

target_send.request_that_is_given_up_does_not_reach_its_target_later fails on (the whole request arrives) and passes now.

--- a/bth/entry/target_attempt.h
+++ b/bth/entry/target_attempt.h
@@ -51,7 +51,7 @@
             co_return this->failed_result();
         }
         const auto stop = [this] {
-            this->connection->close();
+            this->connection->abort();
             if (this->result.answer_started) {
                 this->caller.abort_response();
             }
@@ -99,7 +99,7 @@
     steering::attempt_result failed_result()
     {
         if (this->connection) {
-            this->connection->close();
+            this->connection->abort();
         }
         this->result.id = this->id;
         if (this->result.outcome != steering::attempt_outcome::not_run) {
--- a/bth/entry/target_pool.cpp
+++ b/bth/entry/target_pool.cpp
@@ -1,5 +1,7 @@
 #include "bth/entry/target_pool.h"
 
+#include "bth/shell/net.h"
+
 #include <chrono>
 #include <utility>
 
@@ -47,6 +49,11 @@
     this->socket.close(ignored);
 }
 
+void target_connection::abort()
+{
+    shell::reset(this->socket);
+}
+
 std::shared_ptr<per_target_connections>
 target_connection_pool::connections_to(const endpoint& address)
 {
--- a/bth/entry/target_pool.h
+++ b/bth/entry/target_pool.h
@@ -36,6 +36,8 @@
     ~target_connection();
 
     void close();
+    // The same for a request that was given up: what the target hasn't received of it is discarded.
+    void abort();
 
     // Bounds the extensions of a chunk and a trailer, which the parser's limits don't.
     static constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
--- a/bth/gateway/target_send.cpp
+++ b/bth/gateway/target_send.cpp
@@ -82,12 +82,12 @@
     return seconds ? duration{std::chrono::seconds{*seconds}} : duration{default_idle_timeout};
 }
 
-// Lets `control` end what is done on the connection.
+// Lets `control` end what is done on the connection. A request that was given up must not reach the
+// target later.
 void set_close_handler(send_control& control, target_connection& connection)
 {
     control.close = [socket = &connection.socket] {
-        boost::system::error_code ignored;
-        socket->close(ignored);
+        shell::reset(*socket);
     };
 }
 
@@ -384,6 +384,7 @@
                                asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         control->close = nullptr;
+        shell::reset(connection->socket);
         auto result = unanswered_result(*control, true);
         result.is_connection_lost = true;
         co_return with_connection(std::move(result));
@@ -394,6 +395,7 @@
         co_await read_response(*connection, request, pool.responses(), reusable, partial);
     control->close = nullptr;
     if (!response) {
+        shell::reset(connection->socket);
         auto result = unanswered_result(*control, true);
         result.signals = partial.signals;
         result.is_too_long = partial.is_too_long;
--- a/bth/gateway/target_send_test.cpp
+++ b/bth/gateway/target_send_test.cpp
@@ -19,6 +19,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -264,3 +265,47 @@
     CHECK_TRUE(result.has_value());
     CHECK_TRUE(result->outcome == send_outcome::answered);
 }
+
+// Behind a cut, a request that the caller had got 504 for ran seconds later.
+TEST(target_send, request_that_is_given_up_does_not_reach_its_target_later)
+{
+    asio::io_context context;
+    tcp::acceptor acceptor{context};
+    acceptor.open(tcp::v4());
+    // The connection takes less than the request, so that the rest waits in the kernel.
+    acceptor.set_option(asio::socket_base::receive_buffer_size{4096});
+    acceptor.bind({asio::ip::address_v4::loopback(), 0});
+    acceptor.listen();
+    target_connection_pool pool;
+    field_names names;
+    names.request_id = "X-Id";
+    const std::string head = "POST / HTTP/1.1\r\nX-Id: 1\r\nContent-Length: 200000\r\n\r\n";
+    const auto size = head.size() + 200000;
+    const auto control = std::make_shared<send_control>();
+    std::optional<send_result> result;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            target_request request{"t",   {{0x7f000001}, acceptor.local_endpoint().port()},
+                                   "1",   head + std::string(200000, 'b'),
+                                   false, 1s,
+                                   1s,    &names,
+                                   {}};
+            result = co_await send_to_target(pool, control, std::move(request));
+        },
+        asio::detached);
+    context.run_for(100ms);
+    tcp::socket target{context};
+    acceptor.accept(target);
+    control->deadline_passed = true;
+    control->abort();
+    context.restart();
+    context.run_for(100ms);
+    CHECK_TRUE(result.has_value());
+    CHECK_TRUE(result->outcome == send_outcome::timed_out);
+    std::vector<char> received(size);
+    boost::system::error_code error;
+    const auto count = asio::read(target, asio::buffer(received), error);
+    CHECK_TRUE(error);
+    CHECK_TRUE(count < size);
+}
--- a/bth/shell/net.cpp
+++ b/bth/shell/net.cpp
@@ -43,6 +43,13 @@
     return acceptor;
 }
 
+void reset(boost::asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+    socket.close(ignored);
+}
+
 time_point monotonic_now()
 {
     // A lease must run out while its holder is suspended; the steady clock stands still meanwhile.
--- a/bth/shell/net.h
+++ b/bth/shell/net.h
@@ -24,6 +24,10 @@
 tl::expected<boost::asio::ip::tcp::acceptor, std::string>
 listen_on(const boost::asio::any_io_executor& executor, const endpoint& where);
 
+// Closes a connection and discards what the other side hasn't received. After a plain close the
+// kernel goes on sending that, also long after a cut has healed.
+void reset(boost::asio::ip::tcp::socket& socket);
+
 // The clocks that a shell passes to the core. The monotonic one counts the time during which the
 // host was suspended.
 time_point monotonic_now();
