Check the heads of answers that another bth-entry has read

bth-entry passed on whatever head another entry host sent it; one of an earlier build sends on what its target wrote, such as a field whose name holds a blank. make_response_head() decides by the same functions as for targets; a head that is none is a broken attempt.

--- a/bth/entry/http_fields.cpp
+++ b/bth/entry/http_fields.cpp
@@ -1,5 +1,7 @@
 #include "bth/entry/http_fields.h"
 
+#include "bth/shell/response_head.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -58,6 +60,26 @@
     head.erase(reason_field);
 }
 
+std::optional<response_head>
+make_response_head(unsigned status, const std::vector<std::pair<std::string, std::string>>& fields)
+{
+    response_head head;
+    if (!shell::is_final_status(status)) {
+        return std::nullopt;
+    }
+    head.result(status);
+    for (const auto& [name, value] : fields) {
+        if (!shell::is_field(name, value)) {
+            return std::nullopt;
+        }
+        head.insert(name, value);
+    }
+    if (shell::check_response_head(head)) {
+        return std::nullopt;
+    }
+    return head;
+}
+
 std::optional<std::uint64_t> parse_whole_number(std::string_view text)
 {
     std::uint64_t value{};
--- a/bth/entry/http_fields.h
+++ b/bth/entry/http_fields.h
@@ -10,6 +10,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
@@ -41,6 +43,11 @@
 // response can't look like a refusal by this system.
 void strip_response_fields(response_head& head);
 
+// Returns the head of a response that another entry host read, or nothing if it is none: a host of
+// an earlier build reads heads less strictly.
+std::optional<response_head>
+make_response_head(unsigned status, const std::vector<std::pair<std::string, std::string>>& fields);
+
 // Parses a decimal number without a sign, such as the value of Retry-After. Returns nothing if the
 // text has any other character or the number doesn't fit 64 bits.
 std::optional<std::uint64_t> parse_whole_number(std::string_view text);
--- a/bth/entry/peer_attempt.h
+++ b/bth/entry/peer_attempt.h
@@ -137,17 +137,18 @@
         if (response == nullptr) {
             co_return false;
         }
+        auto head = make_response_head(response->status, response->fields);
+        if (!head) {
+            co_return false;
+        }
         this->result.answer_started = true;
-        co_return co_await this->relay_response(*response);
+        co_return co_await this->relay_response(std::move(*head), *response);
     }
 
-    boost::asio::awaitable<bool> relay_response(received_response& response)
+    boost::asio::awaitable<bool> relay_response(response_head head, received_response& response)
     {
         response_start start;
-        start.head.result(response.status);
-        for (const auto& [name, value] : response.fields) {
-            start.head.insert(name, value);
-        }
+        start.head = std::move(head);
         start.length = parse_whole_number(start.head[http::field::content_length]);
         start.first = {response.first.body, response.first.last, false};
         strip_response_fields(start.head);
--- a/bth/shell/response_head.cpp
+++ b/bth/shell/response_head.cpp
@@ -91,6 +91,11 @@
     return std::all_of(text.begin(), text.end(), is_digit);
 }
 
+bool is_field(std::string_view name, std::string_view value)
+{
+    return is_field_name(name) && is_field_value(value);
+}
+
 bool are_field_lines(std::string_view lines)
 {
     constexpr std::string_view line_end = "\r\n";
@@ -99,7 +104,7 @@
         const auto line = lines.substr(0, end);
         const auto colon = line.find(':');
         if (end == std::string_view::npos || colon == std::string_view::npos ||
-            !is_field_name(line.substr(0, colon)) || !is_field_value(line.substr(colon + 1))) {
+            !is_field(line.substr(0, colon), line.substr(colon + 1))) {
             return false;
         }
         lines.remove_prefix(end + line_end.size());
--- a/bth/shell/response_head.h
+++ b/bth/shell/response_head.h
@@ -46,8 +46,11 @@
 // Returns whether the text holds nothing but digits.
 bool is_length(std::string_view text);
 
-// Returns whether the text consists of whole lines "NAME: VALUE", each ended by CR LF, whose names
-// are tokens and whose values have no control character but tabs (RFC 9110, 5.1 and 5.5).
+// Returns whether the name is a token and the value has no control character but tabs (RFC
+// 9110, 5.1 and 5.5).
+bool is_field(std::string_view name, std::string_view value);
+
+// Returns whether the text consists of whole lines "NAME: VALUE", each a field and ended by CR LF.
 bool are_field_lines(std::string_view lines);
 
 // Looks for a line that continues the one before (RFC 9112, 5.2): a field whose name starts with a
