Let hosts whose readings of the list fail leave each other room

Cause: a reading that failed was due again 0.1 s later on every voter. Each takes a call for each failure domain at once and fails if one is refused, so that six hosts with 360 calls a second, where 47 are taken, kept each other from a whole list for ever.

A host waits after a failure now, twice as long each time, the leader up to 0.8 s and the others longer by their rank.

--- a/bth/fleet/control_host.cpp
+++ b/bth/fleet/control_host.cpp
@@ -534,18 +534,26 @@
 }
 
 bool control_host::is_list_reading_due(const consensus::replica_status& group_status,
-                                       time_point now) const
+                                       time_point now)
 {
     const auto& voters = group_status.members.voters;
     const bool votes = is_voter(group_status.members, group_status.self);
-    if (!this->catalog.was_read()) {
-        return should_read_first_list(votes, now - this->started_at);
-    }
     const auto smaller = std::count_if(voters.begin(), voters.end(), [this](const auto& each) {
         return each.host < this->name && this->link->connected(each.host);
     });
-    return should_read_list({this->is_leader, votes, static_cast<std::uint32_t>(smaller),
-                             now - this->catalog.read_at(), this->settings.drain_time});
+    const auto rank = static_cast<std::uint32_t>(smaller);
+    if (this->catalog.was_read() && this->catalog.read_at() > this->reading_failed_at) {
+        this->failed_readings = 0;
+    }
+    if (now - this->reading_failed_at <
+        pause_after_failures(this->failed_readings, this->is_leader, rank)) {
+        return false;
+    }
+    if (!this->catalog.was_read()) {
+        return should_read_first_list(votes, now - this->started_at);
+    }
+    return should_read_list(
+        {this->is_leader, votes, rank, now - this->catalog.read_at(), this->settings.drain_time});
 }
 
 asio::awaitable<void> control_host::read_list()
@@ -566,8 +574,11 @@
         co_return;
     }
     if (!reading) {
+        ++this->failed_readings;
+        this->reading_failed_at = now;
         this->events->write(shell::event{"list_failed"}
                                 .with("why", reading.error())
+                                .with("failed", this->failed_readings)
                                 .with("held_age_ms", now - this->catalog.read_at()));
         co_return;
     }
--- a/bth/fleet/control_host.h
+++ b/bth/fleet/control_host.h
@@ -180,7 +180,7 @@
     bool in_contact(time_point now) const;
     // Whether this host holds what the group agrees on, apart from what is on its way.
     bool follows_group(time_point now) const;
-    bool is_list_reading_due(const consensus::replica_status& group_status, time_point now) const;
+    bool is_list_reading_due(const consensus::replica_status& group_status, time_point now);
 
     boost::asio::io_context* context;
     control_host_settings settings;
@@ -224,6 +224,10 @@
     // The version of the configuration that the limits in `demand` are from.
     route::config_version limits_version;
     bool list_read_in_flight{};
+    // The readings of the list that failed since the last one that didn't, and when the last of
+    // them ended.
+    std::uint32_t failed_readings{};
+    time_point reading_failed_at;
     // The number of calls of the last reading of the list here, 0 if there was none.
     std::size_t calls_of_last_reading{};
     time_point started_at;
--- a/bth/fleet/list_reading.h
+++ b/bth/fleet/list_reading.h
@@ -65,6 +65,24 @@
     return is_voter && running >= relay_wait;
 }
 
+// Returns how long a host waits after the last of so many readings in a row that failed, before it
+// reads again. `rank` is that of list_reading_state.
+//
+// The calls of all hosts together are limited, and each reading takes several at once: hosts that
+// all read again at once refuse each other for as long as they go on. So the leader reads first,
+// and the pauses grow up to a rate of calls that leaves the leader's readings room.
+constexpr duration pause_after_failures(std::uint32_t failures, bool is_leader, std::uint32_t rank)
+{
+    constexpr std::chrono::milliseconds first_pause{100};
+    constexpr std::uint32_t max_doublings = 3;
+    constexpr std::uint32_t max_rank = 100;
+    if (failures == 0) {
+        return {};
+    }
+    const auto turns = is_leader ? 1 : 2 + std::min(rank, max_rank);
+    return first_pause * (1U << std::min(failures - 1, max_doublings)) * turns;
+}
+
 // Returns whether the parts of the list that belong to the failure domains should be read at the
 // same time, instead of all pages one after another. `calls` is the number of calls of the last
 // reading, 0 if there was none.
