review: one invalid config ends all control hosts in turn

Cause: the findings of an invalid config have no bound; 150,000 empty routes take more memory than a control host has, and it is killed before it answers 400. Case 13 sends it as an operator does, who goes on to another host.

--- a/review/site_3.py
+++ b/review/site_3.py
@@ -326,11 +326,11 @@
         return None
 
     @staticmethod
-    def call_once(where, method, path, body):
-        """The status of one call, two redirects followed; None if there is no answer in a second."""
+    def call_once(where, method, path, body, limit_s=1):
+        """The status of one call, two redirects followed; None if there is no answer in `limit_s` each."""
         status = None
         for _ in range(3):
-            call = http.client.HTTPConnection(where, timeout=1)
+            call = http.client.HTTPConnection(where, timeout=limit_s)
             try:
                 call.request(method, path, body, {"Content-Type": "application/json"} if body else {})
                 answer = call.getresponse()
