--- a/review/site_3.py
+++ b/review/site_3.py
@@ -35,7 +35,7 @@
 
 class Upstream:
     """A sound upstream: `slots` requests at a time, a few more wait, the rest is turned away as not run. A request ends
-    with its connection and with its time budget. `work_s` and `answer_bytes` may be functions of the path.
+    with its time budget. `work_s` and `answer_bytes` may be functions of the path.
     """
 
     def __init__(self, name, service, zone, address, slots=3, queue=9, work_s=0.3, answer_bytes=400):
@@ -45,7 +45,7 @@
         self.state = "ready"
         self.cold_until = 0.0
         self.busy = self.waiting = 0
-        # Of each request: when it began to run, by id; (id, method, path, body length).
+        # Of each run: when it began, the request's id, method, path and body length.
         self.runs = []
         self.arrivals = 0
         self.free = None
@@ -208,6 +208,8 @@
         self.upstream_ports = itertools.count(30001)
         self.list_address = f"{self.network}.250:8642"
         self.upstreams, self.controls, self.entries = [], [], []
+        # The bytes of an entry of the list that another writer made; none if empty.
+        self.foreign_entry = ""
         self.numbers = itertools.count(1)
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
@@ -289,7 +291,10 @@
                     _, path, _, _ = await Upstream.read_request(reader)
                     rows = {each.name: each.entry() for each in self.upstreams
                             if each.state != "gone" and ("zone=" not in path or f"zone={each.zone}" in path)}
-                    body = json.dumps({"instances": rows, "nextPageToken": None}).encode()
+                    entries = [f"{json.dumps(name)}:{json.dumps(row)}" for name, row in rows.items()]
+                    if self.foreign_entry:
+                        entries.insert(len(entries) // 2, self.foreign_entry)
+                    body = ('{"instances":{' + ",".join(entries) + '},"nextPageToken":null}').encode()
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
                                  % len(body) + body)
                     await writer.drain()
