review: scripts end their processes on a signal and exit with 2 on an error

Cause: a script ended by SIGTERM left six processes and its folder, and an unexpected error ended it with 1, which says that the rule was broken. A watching thread could start a host again during the clean-up. Change: one way to play a case, with a limit of 115 s.

--- a/review/site_3.py
+++ b/review/site_3.py
@@ -19,6 +19,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -29,10 +30,31 @@
 REGIONS = ("lagos", "kano", "enugu")
 
 
+# A script ends by itself after this time.
+LIMIT_S = 115
+
+
 class CannotRun(Exception):
     """The case can't be played here."""
 
 
+def play(case):
+    """Exits with what `case` returns: 1 if the rule was broken, 0 if it held. Exits with 2 if it couldn't be played to its end:
+    an error, a signal, or more than LIMIT_S. Processes of a `Site` end in each case but SIGKILL.
+    """
+    def give_up(number, _):
+        raise CannotRun(f"ended by signal {number}")
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, give_up)
+    signal.alarm(LIMIT_S)
+    try:
+        code = case()
+    except Exception as error:  # Whatever went wrong, it doesn't show that the rule was broken.
+        print(f"couldn't run: {type(error).__name__}: {error}", file=sys.stderr)
+        code = 2
+    sys.exit(code)
+
+
 class Upstream:
     """A sound upstream: `slots` requests at a time, a few more wait, the rest is turned away as not run. A request ends
     with its time budget. `work_s` and `answer_bytes` may be functions of the path.
@@ -162,6 +184,11 @@
         self.process = None
 
     def start(self):
+        with self.site.lock:
+            if not self.site.closing:
+                self.launch()
+
+    def launch(self):
         path = self.site.folder / f"{self.name}.json"
         path.write_text(json.dumps(self.settings))
         with open(self.site.folder / f"{self.name}.log", "ab") as log:
@@ -201,6 +228,8 @@
         self.record_path = pathlib.Path(__file__).resolve().parent / case / "record.txt"
         self.record_file = open(self.record_path, "w")
         self.began = time.monotonic()
+        # Once it is closing, no thread starts a program again.
+        self.lock, self.closing = threading.Lock(), False
         self.zones = {f"{REGIONS[row % regions]}-{row // regions + 1}": REGIONS[row % regions] for row in range(zones)}
         self.network = self.find_network()
         self.peer_port, self.control_port, self.lookup_port, self.caller_port, self.ready_port, self.metrics_port = \
@@ -256,6 +285,10 @@
         return self
 
     def __exit__(self, *_):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+            signal.signal(number, signal.SIG_IGN)
+        with self.lock:
+            self.closing = True
         for each in [*self.entries, *self.controls]:
             each.stop()
         self.loop.call_soon_threadsafe(self.loop.stop)
